--- /dev/null
+++ b/packages/telemetry/src/Metrics.cpp
@@ -0,0 +1,121 @@
+#include "flamingowick/telemetry/Metrics.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+
+namespace flamingowick::telemetry {
+
+namespace {
+
+    namespace accumulators = boost::accumulators;
+
+    constexpr std::array<double, 3> quantiles { 0.5, 0.9, 0.99 };
+    constexpr std::array<std::string_view, 3> quantileNames { "0.5", "0.9", "0.99" };
+
+    using Summary = accumulators::accumulator_set<double,
+        accumulators::stats<accumulators::tag::count, accumulators::tag::sum, accumulators::tag::extended_p_square>>;
+
+    struct MeasureName {
+        std::string name;
+        std::string labels;
+
+        auto operator<=>(const MeasureName&) const = default; // NOLINT(modernize-use-nullptr)
+    };
+
+    Summary makeSummary()
+    {
+        return Summary(accumulators::tag::extended_p_square::probabilities = quantiles);
+    }
+
+    void appendSample(std::string& text, std::string_view name, std::string_view labels, double value)
+    {
+        text.append(name);
+        if (!labels.empty())
+            text.append("{").append(labels).append("}");
+        text.append(" ").append(std::to_string(value)).append("\n");
+    }
+
+    void appendType(std::string& text, std::string& last, const std::string& name, std::string_view type)
+    {
+        if (last == name)
+            return;
+        last = name;
+        text.append("# TYPE ").append(name).append(" ").append(type).append("\n");
+    }
+
+    void appendSummary(std::string& text, const MeasureName& measure, const Summary& summary)
+    {
+        for (std::size_t index = 0; index < quantiles.size(); ++index) {
+            std::string labels = measure.labels;
+            labels.append(labels.empty() ? "" : ",").append("quantile=\"").append(quantileNames[index]).append("\"");
+            appendSample(text, measure.name, labels, accumulators::extended_p_square(summary)[static_cast<std::ptrdiff_t>(index)]);
+        }
+        appendSample(text, measure.name + "_sum", measure.labels, accumulators::sum(summary));
+        appendSample(text, measure.name + "_count", measure.labels, static_cast<double>(accumulators::count(summary)));
+    }
+
+}
+
+struct Metrics::Impl {
+    std::map<MeasureName, std::uint64_t> counters;
+    std::map<MeasureName, double> gauges;
+    std::map<MeasureName, Summary> summaries;
+};
+
+Metrics::Metrics()
+    : impl(std::make_unique<Impl>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::count(std::string_view name, std::string_view labels, std::uint64_t amount)
+{
+    this->impl->counters[{ std::string(name), std::string(labels) }] += amount;
+}
+
+void Metrics::set(std::string_view name, std::string_view labels, double value)
+{
+    this->impl->gauges[{ std::string(name), std::string(labels) }] = value;
+}
+
+void Metrics::observe(std::string_view name, std::string_view labels, Duration duration)
+{
+    MeasureName measure { std::string(name), std::string(labels) };
+    auto entry = this->impl->summaries.find(measure);
+    if (entry == this->impl->summaries.end())
+        entry = this->impl->summaries.emplace(std::move(measure), makeSummary()).first;
+    entry->second(std::chrono::duration<double>(duration).count());
+}
+
+std::uint64_t Metrics::counterValue(std::string_view name, std::string_view labels) const
+{
+    auto entry = this->impl->counters.find({ std::string(name), std::string(labels) });
+    return entry == this->impl->counters.end() ? 0 : entry->second;
+}
+
+std::string Metrics::render() const
+{
+    std::string text;
+    std::string last;
+    for (const auto& [measure, value] : this->impl->counters) {
+        appendType(text, last, measure.name, "counter");
+        appendSample(text, measure.name, measure.labels, static_cast<double>(value));
+    }
+    for (const auto& [measure, value] : this->impl->gauges) {
+        appendType(text, last, measure.name, "gauge");
+        appendSample(text, measure.name, measure.labels, value);
+    }
+    for (const auto& [measure, summary] : this->impl->summaries) {
+        appendType(text, last, measure.name, "summary");
+        appendSummary(text, measure, summary);
+    }
+    return text;
+}
+
+}
--- /dev/null
+++ b/packages/telemetry/tests/unit-metrics.cpp
@@ -0,0 +1,38 @@
+#include "flamingowick/telemetry/Log.h"
+#include "flamingowick/telemetry/Metrics.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace flamingowick;
+using namespace flamingowick::telemetry;
+
+TEST_GROUP(Metrics) {};
+
+TEST(Metrics, RendersEachTypeOnce)
+{
+    Metrics metrics;
+    metrics.count("requests_total", "service=\"a\"");
+    metrics.count("requests_total", "service=\"b\"", 2);
+    metrics.set("members", "", 44);
+    std::string expected = "# TYPE requests_total counter\nrequests_total{service=\"a\"} 1.000000\n"
+                           "requests_total{service=\"b\"} 2.000000\n# TYPE members gauge\nmembers 44.000000\n";
+    STRCMP_EQUAL(expected.c_str(), metrics.render().c_str());
+}
+
+TEST(Metrics, SummarisesDurationsInSeconds)
+{
+    Metrics metrics;
+    for (int milliseconds = 1; milliseconds <= 100; ++milliseconds)
+        metrics.observe("latency_seconds", "", std::chrono::milliseconds(milliseconds));
+    std::string text = metrics.render();
+    CHECK(text.find("latency_seconds_count 100.000000") != std::string::npos);
+    CHECK(text.find("latency_seconds_sum 5.050000") != std::string::npos);
+}
+
+TEST_GROUP(Log) {};
+
+TEST(Log, GivesEveryPartAPrefix)
+{
+    STRCMP_EQUAL("entry: ", std::string(prefix(Part::Entry)).c_str());
+    STRCMP_EQUAL("keys: ", std::string(prefix(Part::Keys)).c_str());
+}
