Add the peers package: messages between daemons over ZeroMQ

Messages go only over open connections (immediate mode, no linger): what can't be handed over comes back as not sent. Each envelope names the receiver's incarnation; messages for another life are dropped.

--- /dev/null
+++ b/packages/peers/tests/unit-transport.cpp
@@ -0,0 +1,91 @@
+#include "flamingowick/peers/PeerTransport.h"
+
+#include "flamingowick/model/Error.h"
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <thread>
+
+// Last: its macros for new would break the other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace flamingowick;
+using namespace flamingowick::peers;
+
+namespace {
+
+constexpr std::string_view firstAddress = "127.0.0.1:38411";
+constexpr std::string_view secondAddress = "127.0.0.1:38412";
+
+struct Peer {
+    std::atomic<unsigned> received { 0 };
+    std::atomic<unsigned> notSent { 0 };
+    std::atomic<unsigned> linksLost { 0 };
+    std::unique_ptr<PeerTransport> transport;
+
+    Peer(const DaemonId& id, std::string_view address)
+    {
+        TransportSettings settings;
+        settings.self = id;
+        settings.address = address;
+        TransportHandlers handlers;
+        handlers.onMessage = [this](const Envelope&) { ++this->received; };
+        handlers.onNotSent = [this](const std::string&, const Message&) { ++this->notSent; };
+        handlers.onLinkLost = [this](const std::string&) { ++this->linksLost; };
+        this->transport = std::make_unique<PeerTransport>(settings, handlers);
+    }
+};
+
+// Sends until one message has arrived, since a connection takes a moment to open.
+void sendUntilReceived(Peer& from, Peer& to, Incarnation incarnation)
+{
+    while (to.received == 0) {
+        from.transport->send(secondAddress, incarnation, Heartbeat { "a" });
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+}
+
+}
+
+TEST_GROUP(PeerTransport) {};
+
+TEST(PeerTransport, HandsBackWhatNoOpenConnectionTook)
+{
+    Peer alone({ "a", 1 }, firstAddress);
+    alone.transport->send(secondAddress, 0, Heartbeat { "a" });
+    while (alone.notSent == 0)
+        std::this_thread::yield();
+    CHECK_EQUAL(1U, alone.notSent.load());
+}
+
+TEST(PeerTransport, DeliversToTheLifeThatIsMeantAndNoOther)
+{
+    Peer first({ "a", 1 }, firstAddress);
+    Peer second({ "b", 5 }, secondAddress);
+    sendUntilReceived(first, second, 5);
+    unsigned before = second.received;
+    first.transport->send(secondAddress, 4, Heartbeat { "a" });
+    first.transport->send(secondAddress, 5, Heartbeat { "a" });
+    while (second.received == before)
+        std::this_thread::yield();
+    CHECK_EQUAL(before + 1, second.received.load());
+}
+
+TEST(PeerTransport, ReportsALinkThatIsLost)
+{
+    Peer first({ "a", 1 }, firstAddress);
+    {
+        Peer second({ "b", 5 }, secondAddress);
+        sendUntilReceived(first, second, 5);
+    }
+    while (first.linksLost == 0)
+        std::this_thread::yield();
+    CHECK(first.linksLost >= 1);
+}
+
+TEST(PeerTransport, RefusesAnAddressInUse)
+{
+    Peer first({ "a", 1 }, firstAddress);
+    CHECK_THROWS(PeerError, Peer({ "b", 1 }, firstAddress));
+}
