Add the dispatch package's state machine

One dispatcher per service decides on slots, waiting, fairness, retries, crash containment and leaving targets as a pure function of state, event and time.

--- /dev/null
+++ b/packages/dispatch/src/Completion.cpp
@@ -0,0 +1,134 @@
+#include "flamingowick/dispatch/detail/Steps.h"
+
+#include <algorithm>
+
+namespace flamingowick::dispatch::detail {
+
+namespace {
+
+    constexpr unsigned firstServerError = 500;
+    constexpr unsigned badGateway = 502;
+    constexpr unsigned serviceUnavailable = 503;
+
+    std::optional<EvidenceKind> evidenceOf(const AttemptResult& result)
+    {
+        switch (result.kind) {
+        case AttemptKind::Answered:
+            return result.status < firstServerError ? EvidenceKind::Ok : EvidenceKind::Error;
+        case AttemptKind::ConnectFailed:
+            return EvidenceKind::PathFailure;
+        case AttemptKind::MaybeRun:
+            return EvidenceKind::Error;
+        case AttemptKind::TimedOut:
+            return EvidenceKind::Slow;
+        case AttemptKind::Crashed:
+            return EvidenceKind::CrashExcluded;
+        case AttemptKind::Shed:
+        case AttemptKind::Drained:
+        case AttemptKind::Cancelled:
+            return std::nullopt;
+        }
+        return std::nullopt;
+    }
+
+    // Whether a target is left that the request has not tried and that takes new work.
+    bool hasOtherTarget(const DispatcherState& state, const ActiveRequest& request)
+    {
+        const auto& targets = state.targets.byAddress;
+        return std::any_of(targets.begin(), targets.end(), [&](const auto& entry) {
+            bool tried = std::find(request.tried.begin(), request.tried.end(), entry.first) != request.tried.end();
+            return !tried && !entry.second.ejected && takesNewWork(entry.second);
+        });
+    }
+
+    // None when the request may be attempted again; the right to a retry is then taken.
+    std::optional<FinishReason> objectionToRetry(Step& step, const ActiveRequest& request, const AttemptResult& result)
+    {
+        DispatcherState& state = step.state;
+        if (!state.policy.mayRepeat(request.ticket.idempotent, result))
+            return FinishReason::NotRepeatable;
+        if (refusedUntil(step, request.ticket))
+            return FinishReason::RequestQuarantined;
+        if (request.tried.size() >= state.document.retries.maxAttempts || !hasOtherTarget(state, request))
+            return FinishReason::AttemptsExhausted;
+        if (!canFinish(state.serviceTime, step.now, request.ticket.deadline))
+            return FinishReason::DeadlineExceeded;
+        if (!state.policy.takeRetry(state.retries))
+            return FinishReason::RetryBudgetSpent;
+        return std::nullopt;
+    }
+
+    void accountAttempt(Step& step, ActiveRequest& request, const TargetAnswered& event)
+    {
+        DispatcherState& state = step.state;
+        Attempt attempt = *request.attempt;
+        Duration taken = step.now - attempt.startedAt;
+        request.attempt.reset();
+        request.mayHaveRun = request.mayHaveRun || !state.policy.certainlyNotRun(event.result.kind);
+        releaseSlot(state.targets, attempt.target);
+        dispatch::endAttempt(state.queue, request.ticket.caller, attempt.expected, taken);
+        for (std::uint64_t fingerprint : fingerprints(request.ticket)) {
+            auto running = state.running.find(fingerprint);
+            if (--running->second == 0)
+                state.running.erase(running);
+        }
+        auto kind = evidenceOf(event.result);
+        if (kind)
+            step.actions.push_back(Evidence { attempt.target, *kind, taken, state.failureDomain });
+        if (kind == EvidenceKind::Ok)
+            recordServiceTime(state.serviceTime, taken);
+    }
+
+    void accountCrash(Step& step, const Ticket& ticket, const TargetAnswered& event)
+    {
+        for (std::uint64_t fingerprint : fingerprints(ticket)) {
+            if (event.result.kind == AttemptKind::Answered)
+                recordSurvival(step.state.crashes, fingerprint);
+            if (event.result.kind != AttemptKind::Crashed)
+                continue;
+            step.actions.push_back(CrashReport { fingerprint, event.target });
+            noteCrash(step, fingerprint, event.target);
+        }
+    }
+
+    void concludeOrRetry(Step& step, const RequestId& id, const AttemptResult& result)
+    {
+        ActiveRequest& request = step.state.requests.at(id);
+        bool answered = result.kind == AttemptKind::Answered;
+        if (!answered && finishIfRefused(step, id))
+            return;
+        auto objection = objectionToRetry(step, request, result);
+        if (!objection) {
+            wait(step, id, true);
+            return;
+        }
+        if (answered) {
+            step.actions.push_back(PassAnswer { id });
+            forget(step.state, id);
+            return;
+        }
+        unsigned status = request.mayHaveRun ? badGateway : serviceUnavailable;
+        finish(step, id, *objection, status, std::nullopt);
+    }
+
+}
+
+void endAttempt(Step& step, const TargetAnswered& event)
+{
+    auto place = step.state.requests.find(event.id);
+    if (place == step.state.requests.end())
+        return;
+    ActiveRequest& request = place->second;
+    if (!request.attempt || request.attempt->target != event.target)
+        return;
+    accountAttempt(step, request, event);
+    if (event.result.kind == AttemptKind::Drained)
+        applyLeaving(step.state.targets, { event.target }, step.now);
+    accountCrash(step, request.ticket, event);
+    if (request.finished)
+        forget(step.state, event.id);
+    else
+        concludeOrRetry(step, event.id, event.result);
+}
+
+}
--- /dev/null
+++ b/packages/dispatch/src/CrashLedger.cpp
@@ -0,0 +1,74 @@
+#include "flamingowick/dispatch/CrashLedger.h"
+
+#include <algorithm>
+
+namespace flamingowick::dispatch {
+
+namespace {
+
+    constexpr std::size_t maxSuspects = 4096;
+    constexpr std::size_t maxRefusals = 4096;
+
+    void dropOldestSuspect(CrashLedger& ledger)
+    {
+        auto oldest = std::min_element(ledger.suspects.begin(), ledger.suspects.end(),
+            [](const auto& left, const auto& right) { return left.second.lastCrash < right.second.lastCrash; });
+        ledger.suspects.erase(oldest);
+    }
+
+    void dropFirstToEnd(CrashLedger& ledger)
+    {
+        auto first = std::min_element(ledger.refusedUntil.begin(), ledger.refusedUntil.end(),
+            [](const auto& left, const auto& right) { return left.second < right.second; });
+        ledger.refusedUntil.erase(first);
+    }
+
+}
+
+bool recordCrash(CrashLedger& ledger, std::uint64_t fingerprint, const TargetAddress& target, const CrashPolicy& policy, TimePoint now)
+{
+    if (crashCount(ledger, fingerprint, policy, now) == 0)
+        ledger.suspects.erase(fingerprint);
+    CrashLedger::Suspect& suspect = ledger.suspects[fingerprint];
+    suspect.crashed.insert(target);
+    suspect.lastCrash = now;
+    if (suspect.crashed.size() >= policy.distinctTargets) {
+        ledger.suspects.erase(fingerprint);
+        refuse(ledger, fingerprint, now + policy.refuseFor);
+        return true;
+    }
+    if (ledger.suspects.size() > maxSuspects)
+        dropOldestSuspect(ledger);
+    return false;
+}
+
+void recordSurvival(CrashLedger& ledger, std::uint64_t fingerprint)
+{
+    ledger.suspects.erase(fingerprint);
+}
+
+void refuse(CrashLedger& ledger, std::uint64_t fingerprint, TimePoint until)
+{
+    TimePoint& end = ledger.refusedUntil.try_emplace(fingerprint, until).first->second;
+    end = std::max(end, until);
+    if (ledger.refusedUntil.size() > maxRefusals)
+        dropFirstToEnd(ledger);
+}
+
+std::optional<TimePoint> refusal(const CrashLedger& ledger, std::uint64_t fingerprint, TimePoint now)
+{
+    auto place = ledger.refusedUntil.find(fingerprint);
+    if (place == ledger.refusedUntil.end() || place->second <= now)
+        return std::nullopt;
+    return place->second;
+}
+
+std::size_t crashCount(const CrashLedger& ledger, std::uint64_t fingerprint, const CrashPolicy& policy, TimePoint now)
+{
+    auto place = ledger.suspects.find(fingerprint);
+    if (place == ledger.suspects.end() || now - place->second.lastCrash > policy.refuseFor)
+        return 0;
+    return place->second.crashed.size();
+}
+
+}
--- /dev/null
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -0,0 +1,148 @@
+#include "flamingowick/dispatch/Dispatcher.h"
+
+#include "flamingowick/dispatch/detail/Steps.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingowick::dispatch {
+
+namespace {
+
+    using detail::Step;
+
+    // Warming targets gain slots without an event, so waiting requests are looked at this often.
+    constexpr Duration tickInterval = std::chrono::milliseconds(50);
+    constexpr unsigned clientClosedRequest = 499;
+
+    // Returns whether the request is new.
+    bool rememberSubmission(Step& step, const Ticket& ticket)
+    {
+        DispatcherState& state = step.state;
+        if (state.requests.contains(ticket.id) || state.seen.contains(ticket.id))
+            return false;
+        state.seen.insert(ticket.id);
+        TimePoint until = std::max(ticket.deadline, step.now + state.document.deadlines.maxTimeout);
+        state.seenUntil.emplace(until, ticket.id);
+        return true;
+    }
+
+    void dropSeen(Step& step)
+    {
+        auto& seenUntil = step.state.seenUntil;
+        while (!seenUntil.empty() && seenUntil.begin()->first <= step.now) {
+            step.state.seen.erase(seenUntil.begin()->second);
+            seenUntil.erase(seenUntil.begin());
+        }
+    }
+
+    void apply(Step& step, const Submit& event)
+    {
+        const Ticket& ticket = event.ticket;
+        if (!rememberSubmission(step, ticket))
+            return;
+        ActiveRequest request;
+        request.ticket = ticket;
+        request.expiry = ticket.deadline;
+        step.state.requests.emplace(ticket.id, std::move(request));
+        if (!detail::finishIfRefused(step, ticket.id))
+            detail::wait(step, ticket.id, false);
+    }
+
+    void apply(Step& step, const TargetAnswered& event)
+    {
+        detail::endAttempt(step, event);
+    }
+
+    void apply(Step& step, const Cancelled& event)
+    {
+        auto place = step.state.requests.find(event.id);
+        if (place != step.state.requests.end() && !place->second.finished)
+            detail::finish(step, event.id, FinishReason::CallerCancelled, clientClosedRequest, std::nullopt);
+    }
+
+    void apply(Step& step, const TargetsChanged& event)
+    {
+        applyList(step.state.targets, event, step.now);
+    }
+
+    void apply(Step& step, const TargetLeaving& event)
+    {
+        applyLeaving(step.state.targets, event, step.now);
+    }
+
+    void apply(Step& step, const TargetStarted& event)
+    {
+        applyStart(step.state.targets, event, step.now);
+    }
+
+    void apply(Step& step, const TargetHealth& event)
+    {
+        applyHealth(step.state.targets, event, step.now);
+    }
+
+    void apply(Step& step, const PeerGrant& event)
+    {
+        applyGrant(step.state.retries, event);
+    }
+
+    void apply(Step& step, const CrashReport& event)
+    {
+        detail::noteCrash(step, event.fingerprint, event.target);
+    }
+
+    void apply(Step& step, const QuarantineNotice& event)
+    {
+        refuse(step.state.crashes, event.fingerprint, step.now + event.remaining);
+        detail::finishRefused(step);
+    }
+
+    void apply(Step& step, const UpdateDocument& event)
+    {
+        step.state.document = event.document;
+        for (const auto& [caller, own] : step.state.queue.callers) {
+            for (const auto& entry : own.waiting) {
+                TimePoint expiry = step.state.requests.at(entry.id).expiry;
+                detail::setExpiry(step.state, entry.id, std::min(expiry, step.now + event.document.queue.maxWait));
+            }
+        }
+    }
+
+    void apply(Step&, const Tick&)
+    {
+    }
+
+}
+
+DispatcherState makeDispatcher(ServiceDocument document, std::string_view failureDomain, std::uint64_t seed, TimePoint now)
+{
+    DispatcherState state;
+    state.document = std::move(document);
+    state.failureDomain = failureDomain;
+    state.random = seed;
+    state.retries.accruedAt = now;
+    return state;
+}
+
+std::vector<Action> handle(DispatcherState& state, const Event& event, TimePoint now)
+{
+    std::vector<Action> actions;
+    Step step { state, now, actions };
+    accrueRetries(state.retries, state.document.retries, now);
+    dropSeen(step);
+    std::visit([&](const auto& specific) { apply(step, specific); }, event);
+    detail::expire(step);
+    detail::place(step);
+    detail::shortenQueue(step);
+    return actions;
+}
+
+std::optional<TimePoint> nextWake(const DispatcherState& state, TimePoint now)
+{
+    if (state.expiries.empty())
+        return std::nullopt;
+    TimePoint earliest = state.expiries.begin()->first;
+    return state.queue.waiting > 0 ? std::min(earliest, now + tickInterval) : earliest;
+}
+
+}
--- /dev/null
+++ b/packages/dispatch/src/Fairness.cpp
@@ -0,0 +1,50 @@
+#include "flamingowick/dispatch/Fairness.h"
+
+namespace flamingowick::dispatch {
+
+CallerRank rankByVirtualTime(const CallerLoad& load) noexcept
+{
+    return { load.virtualTime, load.firstSequence };
+}
+
+CallerRank rankByArrival(const CallerLoad& load) noexcept
+{
+    return { 0, load.firstSequence };
+}
+
+CallerRank rankByMinimumShare(const CallerLoad& load) noexcept
+{
+    bool below = load.inFlight + 1 <= load.equalShare;
+    return { below ? 0.0 : 1.0, load.firstSequence };
+}
+
+std::string_view displaceLongest(const WaitQueue& queue)
+{
+    std::pair<std::size_t, std::uint64_t> most;
+    std::string_view longest;
+    for (const auto& [caller, own] : queue.callers) {
+        if (own.waiting.empty())
+            continue;
+        std::pair<std::size_t, std::uint64_t> length { own.waiting.size(), own.waiting.back().sequence };
+        if (longest.data() && length <= most)
+            continue;
+        most = length;
+        longest = caller;
+    }
+    return longest;
+}
+
+std::string_view displaceNewest(const WaitQueue& queue)
+{
+    std::uint64_t last = 0;
+    std::string_view newest;
+    for (const auto& [caller, own] : queue.callers) {
+        if (own.waiting.empty() || (newest.data() && own.waiting.back().sequence < last))
+            continue;
+        last = own.waiting.back().sequence;
+        newest = caller;
+    }
+    return newest;
+}
+
+}
--- /dev/null
+++ b/packages/dispatch/src/Placement.cpp
@@ -0,0 +1,159 @@
+#include "flamingowick/dispatch/detail/Steps.h"
+
+#include "flamingowick/model/Invariant.h"
+
+#include <algorithm>
+
+namespace flamingowick::dispatch::detail {
+
+namespace {
+
+    constexpr unsigned gatewayTimeout = 504;
+
+    bool hasRoom(const Step& step, const TargetState& target)
+    {
+        const DispatcherState& state = step.state;
+        return state.policy.takesNewWork(target)
+            && target.inFlight < state.policy.usableSlots(state.document.targets, target, step.now);
+    }
+
+    bool isOpenTo(const TargetState& target, const Ticket& ticket)
+    {
+        if (!target.ejected)
+            return true;
+        return ticket.idempotent && !ticket.keyDigest && target.trialCredit >= 1;
+    }
+
+    std::vector<Candidate> candidatesFor(const Step& step, const ActiveRequest& request)
+    {
+        std::vector<Candidate> candidates;
+        for (const auto& [address, target] : step.state.targets.byAddress) {
+            bool tried = std::find(request.tried.begin(), request.tried.end(), address) != request.tried.end();
+            if (tried || !hasRoom(step, target) || !isOpenTo(target, request.ticket))
+                continue;
+            unsigned slots = usableSlots(step.state.document.targets, target, step.now);
+            candidates.push_back({ address, target.failureDomain, target.inFlight, slots });
+        }
+        return candidates;
+    }
+
+    // A request that is suspected to crash targets may run only where its crash would not be one
+    // too many.
+    bool isHeldBack(const Step& step, const Ticket& ticket)
+    {
+        const DispatcherState& state = step.state;
+        const CrashPolicy& policy = state.document.crashes;
+        for (std::uint64_t fingerprint : fingerprints(ticket)) {
+            std::size_t crashes = state.policy.crashCount(state.crashes, fingerprint, policy, step.now);
+            auto running = state.running.find(fingerprint);
+            std::size_t atRisk = crashes + (running == state.running.end() ? 0 : running->second);
+            if (crashes > 0 && atRisk >= policy.distinctTargets)
+                return true;
+        }
+        return false;
+    }
+
+    std::uint64_t nextRandom(DispatcherState& state)
+    {
+        constexpr std::uint64_t splitMixStep = 0x9e3779b97f4a7c15ULL;
+        state.random += splitMixStep;
+        std::uint64_t value = state.random;
+        value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+        value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+        return value ^ (value >> 31U);
+    }
+
+    void start(Step& step, const RequestId& id, const TargetAddress& target)
+    {
+        DispatcherState& state = step.state;
+        ActiveRequest& request = state.requests.at(id);
+        bool allowed = request.ticket.idempotent || !request.mayHaveRun;
+        checkInvariant(allowed, Invariant::AtMostOnce, "a non-idempotent request that may have run is attempted again");
+        if (request.tried.empty())
+            recordFirstAttempt(state.retries, state.document.retries);
+        else
+            recordRetry(state.retries);
+        occupySlot(state.targets, target, state.document.targets, step.now);
+        if (request.ticket.idempotent)
+            creditTrials(state.targets);
+        startFirst(state.queue, request.ticket.caller, state.serviceTime.mean);
+        for (std::uint64_t fingerprint : fingerprints(request.ticket))
+            ++state.running[fingerprint];
+        request.tried.push_back(target);
+        request.attempt = Attempt { target, step.now, state.serviceTime.mean };
+        setExpiry(state, id, request.ticket.deadline);
+        step.actions.push_back(StartAttempt { id, target });
+    }
+
+    bool startIfPossible(Step& step, const RequestId& id)
+    {
+        const ActiveRequest& request = step.state.requests.at(id);
+        if (isHeldBack(step, request.ticket))
+            return false;
+        std::vector<Candidate> candidates = candidatesFor(step, request);
+        if (candidates.empty())
+            return false;
+        std::uint64_t random = nextRandom(step.state);
+        std::size_t chosen = step.state.policy.chooseTarget(candidates, request.ticket.originDomain, random);
+        start(step, id, TargetAddress(candidates[chosen].address));
+        return true;
+    }
+
+    std::vector<std::pair<CallerRank, std::string>> rankCallers(const Step& step)
+    {
+        const WaitQueue& queue = step.state.queue;
+        double slots = totalSlots(step.state.targets, step.state.document.targets, step.now);
+        double equalShare = slots / static_cast<double>(std::max<std::size_t>(1, queue.callers.size()));
+        std::vector<std::pair<CallerRank, std::string>> order;
+        for (const auto& [caller, own] : queue.callers) {
+            if (own.waiting.empty())
+                continue;
+            CallerLoad load { own.inFlight, own.virtualTime, own.waiting.front().sequence, equalShare };
+            order.emplace_back(step.state.policy.rankCaller(load), caller);
+        }
+        std::sort(order.begin(), order.end());
+        return order;
+    }
+
+    // Drops the caller's first requests that can't end in time. Returns whether one is left.
+    bool dropHopeless(Step& step, std::string_view caller)
+    {
+        auto& callers = step.state.queue.callers;
+        while (true) {
+            auto own = callers.find(caller);
+            if (own == callers.end() || own->second.waiting.empty())
+                return false;
+            RequestId id = own->second.waiting.front().id;
+            TimePoint deadline = step.state.requests.at(id).ticket.deadline;
+            if (canFinish(step.state.serviceTime, step.now, deadline))
+                return true;
+            finish(step, id, FinishReason::DeadlineExceeded, gatewayTimeout, std::nullopt);
+        }
+    }
+
+    bool startOne(Step& step)
+    {
+        for (const auto& [rank, caller] : rankCallers(step)) {
+            if (!dropHopeless(step, caller))
+                continue;
+            RequestId id = step.state.queue.callers.find(caller)->second.waiting.front().id;
+            if (startIfPossible(step, id))
+                return true;
+        }
+        return false;
+    }
+
+    bool anyRoom(const Step& step)
+    {
+        const auto& targets = step.state.targets.byAddress;
+        return std::any_of(targets.begin(), targets.end(), [&](const auto& entry) { return hasRoom(step, entry.second); });
+    }
+
+}
+
+void place(Step& step)
+{
+    while (step.state.queue.waiting > 0 && anyRoom(step) && startOne(step)) { }
+}
+
+}
