--- a/packages/dispatch/include/flamingowick/dispatch/Policy.h
+++ b/packages/dispatch/include/flamingowick/dispatch/Policy.h
@@ -16,11 +16,16 @@
 // after one that did not run, else only when it is idempotent. Never throws.
 bool mayRepeat(bool idempotent, const AttemptResult&) noexcept;
 
+// Returns whether health lets the request go to the target: always to one that is not ejected, else
+// only an idempotent request without a key, as a trial that is due. Never throws.
+bool isOpenTo(const TargetState&, const Ticket&) noexcept;
+
 struct Policy {
     bool (*certainlyNotRun)(AttemptKind) { dispatch::certainlyNotRun };
     bool (*mayRepeat)(bool idempotent, const AttemptResult&) { dispatch::mayRepeat };
     unsigned (*usableSlots)(const TargetLimits&, const TargetState&, TimePoint now) { dispatch::usableSlots };
     bool (*takesNewWork)(const TargetState&) { dispatch::takesNewWork };
+    bool (*isOpenTo)(const TargetState&, const Ticket&) { dispatch::isOpenTo };
     std::size_t (*chooseTarget)(std::span<const Candidate>, std::string_view originDomain, std::uint64_t random) { chooseLeastLoaded };
     CallerRank (*rankCaller)(const CallerLoad&) { rankByVirtualTime };
     std::string_view (*displace)(const WaitQueue&) { displaceLongest };
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -17,19 +17,12 @@
             && target.inFlight < state.policy.usableSlots(state.document.targets, target, step.now);
     }
 
-    bool isOpenTo(const TargetState& target, const Ticket& ticket)
-    {
-        if (!target.ejected)
-            return true;
-        return ticket.idempotent && !ticket.keyDigest && target.trialCredit >= 1;
-    }
-
     std::vector<Candidate> candidatesFor(const Step& step, const ActiveRequest& request)
     {
         std::vector<Candidate> candidates;
         for (const auto& [address, target] : step.state.targets.byAddress) {
             bool tried = std::find(request.tried.begin(), request.tried.end(), address) != request.tried.end();
-            if (tried || !hasRoom(step, target) || !isOpenTo(target, request.ticket))
+            if (tried || !hasRoom(step, target) || !step.state.policy.isOpenTo(target, request.ticket))
                 continue;
             unsigned slots = usableSlots(step.state.document.targets, target, step.now);
             candidates.push_back({ address, target.failureDomain, target.inFlight, slots });
--- a/packages/dispatch/src/Policy.cpp
+++ b/packages/dispatch/src/Policy.cpp
@@ -30,4 +30,11 @@
     return idempotent;
 }
 
+bool isOpenTo(const TargetState& target, const Ticket& ticket) noexcept
+{
+    if (!target.ejected)
+        return true;
+    return ticket.idempotent && !ticket.keyDigest && target.trialCredit >= 1;
+}
+
 }
