--- a/packages/dispatch/include/flamingowick/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/flamingowick/dispatch/Dispatcher.h
@@ -32,6 +32,15 @@
     TimePoint expiry;
 };
 
+// A time at which something about a request ends.
+struct Expiry {
+    TimePoint at;
+    RequestId id;
+
+    // Orders by time, then by request. Never throws.
+    bool operator<(const Expiry& other) const noexcept;
+};
+
 struct DispatcherState {
     ServiceDocument document;
     Policy policy;
@@ -43,13 +52,13 @@
     CrashLedger crashes;
     ServiceTime serviceTime;
     std::unordered_map<RequestId, ActiveRequest> requests;
-    std::set<std::pair<TimePoint, RequestId>> expiries;
+    std::set<Expiry> expiries;
     // Attempts in flight by fingerprint.
     std::unordered_map<std::uint64_t, unsigned> running;
     // Requests that were submitted, kept so long that a copy of the message that arrives late is not
     // run again.
     std::unordered_set<RequestId> seen;
-    std::set<std::pair<TimePoint, RequestId>> seenUntil;
+    std::set<Expiry> seenUntil;
     std::uint64_t random { 0 };
 };
 
--- a/packages/dispatch/include/flamingowick/dispatch/Fairness.h
+++ b/packages/dispatch/include/flamingowick/dispatch/Fairness.h
@@ -20,7 +20,11 @@
     double primary { 0 };
     std::uint64_t sequence { 0 };
 
-    auto operator<=>(const CallerRank&) const = default;
+    // Orders by primary, then by arrival. Never throws.
+    bool operator<(const CallerRank& other) const noexcept
+    {
+        return this->primary != other.primary ? this->primary < other.primary : this->sequence < other.sequence;
+    }
 };
 
 // Serves the caller that has used the least slot time. Never throws.
--- a/packages/dispatch/include/flamingowick/dispatch/detail/Steps.h
+++ b/packages/dispatch/include/flamingowick/dispatch/detail/Steps.h
@@ -16,7 +16,7 @@
 std::chrono::seconds suggestRetryAfter(const DispatcherState&, TimePoint now);
 
 // Gives the request the fleet's own final answer, at once. Cancels its attempt, which keeps its slot
-// until it is reported as ended.
+// until it is reported as ended. The id must not be a part of the state.
 void finish(Step&, const RequestId&, FinishReason, unsigned status, std::optional<std::chrono::seconds> retryAfter);
 
 // Returns until when a fingerprint of the ticket is refused, none when none is.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -23,15 +23,15 @@
             return false;
         state.seen.insert(ticket.id);
         TimePoint until = std::max(ticket.deadline, step.now + state.document.deadlines.maxTimeout);
-        state.seenUntil.emplace(until, ticket.id);
+        state.seenUntil.insert({ until, ticket.id });
         return true;
     }
 
     void dropSeen(Step& step)
     {
         auto& seenUntil = step.state.seenUntil;
-        while (!seenUntil.empty() && seenUntil.begin()->first <= step.now) {
-            step.state.seen.erase(seenUntil.begin()->second);
+        while (!seenUntil.empty() && seenUntil.begin()->at <= step.now) {
+            step.state.seen.erase(seenUntil.begin()->id);
             seenUntil.erase(seenUntil.begin());
         }
     }
@@ -114,6 +114,17 @@
 
 }
 
+bool Expiry::operator<(const Expiry& other) const noexcept
+{
+    if (this->at != other.at)
+        return this->at < other.at;
+    if (this->id.counter != other.id.counter)
+        return this->id.counter < other.id.counter;
+    if (this->id.origin.incarnation != other.id.origin.incarnation)
+        return this->id.origin.incarnation < other.id.origin.incarnation;
+    return this->id.origin.vm < other.id.origin.vm;
+}
+
 DispatcherState makeDispatcher(ServiceDocument document, std::string_view failureDomain, std::uint64_t seed, TimePoint now)
 {
     DispatcherState state;
@@ -141,7 +152,7 @@
 {
     if (state.expiries.empty())
         return std::nullopt;
-    TimePoint earliest = state.expiries.begin()->first;
+    TimePoint earliest = state.expiries.begin()->at;
     return state.queue.waiting > 0 ? std::min(earliest, now + tickInterval) : earliest;
 }
 
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -104,7 +104,7 @@
             CallerLoad load { own.inFlight, own.virtualTime, own.waiting.front().sequence, equalShare };
             order.emplace_back(step.state.policy.rankCaller(load), caller);
         }
-        std::sort(order.begin(), order.end());
+        std::sort(order.begin(), order.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
         return order;
     }
 
--- a/packages/dispatch/src/Steps.cpp
+++ b/packages/dispatch/src/Steps.cpp
@@ -40,7 +40,7 @@
     ActiveRequest& request = state.requests.at(id);
     state.expiries.erase({ request.expiry, id });
     request.expiry = expiry;
-    state.expiries.emplace(expiry, id);
+    state.expiries.insert({ expiry, id });
 }
 
 void forget(DispatcherState& state, const RequestId& id)
@@ -50,10 +50,8 @@
     state.requests.erase(place);
 }
 
-void finish(Step& step, const RequestId& name, FinishReason reason, unsigned status, std::optional<std::chrono::seconds> retryAfter)
+void finish(Step& step, const RequestId& id, FinishReason reason, unsigned status, std::optional<std::chrono::seconds> retryAfter)
 {
-    // A copy, since name may be a part of what is erased here.
-    RequestId id = name;
     ActiveRequest& request = step.state.requests.at(id);
     Outcome outcome = outcomeOf(request);
     bool handedOver = request.attempt || request.mayHaveRun;
@@ -97,10 +95,10 @@
 
 void shortenQueue(Step& step)
 {
-    const WaitQueue& queue = step.state.queue;
+    WaitQueue& queue = step.state.queue;
     while (queue.waiting > step.state.document.queue.maxWaiting) {
         std::string_view caller = step.state.policy.displace(queue);
-        const RequestId& newest = queue.callers.find(caller)->second.waiting.back().id;
+        RequestId newest = queue.callers.find(caller)->second.waiting.back().id;
         finish(step, newest, FinishReason::QueueFull, serviceUnavailable, std::nullopt);
     }
 }
@@ -108,8 +106,8 @@
 void expire(Step& step)
 {
     auto& expiries = step.state.expiries;
-    while (!expiries.empty() && expiries.begin()->first <= step.now) {
-        RequestId id = expiries.begin()->second;
+    while (!expiries.empty() && expiries.begin()->at <= step.now) {
+        RequestId id = expiries.begin()->id;
         bool late = step.state.requests.at(id).ticket.deadline <= step.now;
         if (late)
             finish(step, id, FinishReason::DeadlineExceeded, gatewayTimeout, std::nullopt);
--- a/packages/dispatch/tests/Ledger.h
+++ b/packages/dispatch/tests/Ledger.h
@@ -27,7 +27,7 @@
 
 struct Ledger {
     ServiceDocument document;
-    std::map<RequestId, LedgerEntry> requests;
+    std::unordered_map<RequestId, LedgerEntry> requests;
     std::map<TargetAddress, unsigned> inFlight;
     std::map<TargetAddress, std::uint64_t> starts;
     std::set<TargetAddress> listed;
