Add the health package: sequential tests, ejection records and the floor

A pure state machine decides per service which targets are ejected, avoided from one failure domain or readmitted. Evidence is counters per observer and time bucket that merge by the greater of each, and ejections are records with a total order, so daemons that hold the same of both agree whatever was lost, repeated or reordered. The floor is applied to the whole set of wanted restrictions and checked by the invariant at each change.

--- /dev/null
+++ b/packages/health/src/Evidence.cpp
@@ -0,0 +1,160 @@
+#include "flamingowick/health/Evidence.h"
+
+#include <algorithm>
+
+namespace flamingowick::health {
+
+namespace {
+
+    std::size_t position(const Ring& ring, std::int64_t index) noexcept
+    {
+        return static_cast<std::size_t>(index) % ring.buckets.size();
+    }
+
+    // Returns the bucket for an index, emptied of older contents; null when the ring has moved past it.
+    Bucket* claim(Ring& ring, std::int64_t index) noexcept
+    {
+        auto& bucket = ring.buckets[position(ring, index)];
+        if (bucket.index > index)
+            return nullptr;
+        if (bucket.index < index)
+            bucket = Bucket { index, {} };
+        return &bucket;
+    }
+
+    void add(Counts& sum, const Counts& added) noexcept
+    {
+        sum.total += added.total;
+        sum.errors += added.errors;
+        sum.slow += added.slow;
+        sum.forgiven += added.forgiven;
+    }
+
+    void addAt(Ring& ring, std::int64_t index, const Counts& added) noexcept
+    {
+        if (auto* bucket = claim(ring, index))
+            add(bucket->counts, added);
+    }
+
+    Counts greaterOfEach(const Counts& a, const Counts& b) noexcept
+    {
+        return {
+            std::max(a.total, b.total),
+            std::max(a.errors, b.errors),
+            std::max(a.slow, b.slow),
+            std::max(a.forgiven, b.forgiven),
+        };
+    }
+
+    Counts difference(const Counts& after, const Counts& before) noexcept
+    {
+        return {
+            after.total - before.total,
+            after.errors - before.errors,
+            after.slow - before.slow,
+            after.forgiven - before.forgiven,
+        };
+    }
+
+    bool insideWindow(const Ring& ring, std::int64_t index, TimePoint now) noexcept
+    {
+        const auto newest = bucketIndex(now + clockTolerance, ring.width);
+        const auto oldest = bucketIndex(now, ring.width) - static_cast<std::int64_t>(ring.buckets.size());
+        return index > oldest && index <= newest && index >= 0;
+    }
+
+    // The three rings of one width that an observer's counters flow into.
+    struct RingSet {
+        Ring& own;
+        Ring& domain;
+        Ring& pooled;
+    };
+
+    void mergeBucket(const RingSet& rings, const Bucket& incoming, TimePoint now) noexcept
+    {
+        if (!insideWindow(rings.own, incoming.index, now))
+            return;
+        auto* own = claim(rings.own, incoming.index);
+        if (!own)
+            return;
+        const auto merged = greaterOfEach(own->counts, incoming.counts);
+        const auto added = difference(merged, own->counts);
+        own->counts = merged;
+        addAt(rings.domain, incoming.index, added);
+        addAt(rings.pooled, incoming.index, added);
+    }
+
+    bool isStaleRing(const Ring& ring, TimePoint now) noexcept
+    {
+        return std::none_of(ring.buckets.begin(), ring.buckets.end(), [&](const Bucket& bucket) {
+            return bucket.index >= 0 && insideWindow(ring, bucket.index, now);
+        });
+    }
+
+    std::vector<Bucket> bucketsSince(const Ring& ring, TimePoint since)
+    {
+        const auto oldest = bucketIndex(since, ring.width);
+        std::vector<Bucket> buckets;
+        for (const auto& bucket : ring.buckets) {
+            if (bucket.index >= 0 && bucket.index >= oldest)
+                buckets.push_back(bucket);
+        }
+        return buckets;
+    }
+
+}
+
+std::int64_t bucketIndex(TimePoint time, Duration width) noexcept
+{
+    return time.time_since_epoch() / width;
+}
+
+Counts countsAt(const Ring& ring, std::int64_t index) noexcept
+{
+    if (index < 0)
+        return {};
+    const auto& bucket = ring.buckets[position(ring, index)];
+    return bucket.index == index ? bucket.counts : Counts {};
+}
+
+void addCounts(TargetEvidence& evidence, const ObserverId& observer, TimePoint time, const Counts& added)
+{
+    auto& own = evidence.byObserver[observer];
+    auto& domain = evidence.byFailureDomain[observer.failureDomain];
+    const auto fine = bucketIndex(time, fineWidth);
+    const auto coarse = bucketIndex(time, coarseWidth);
+    for (auto* rings : { &own, &domain, &evidence.pooled }) {
+        addAt(rings->fine, fine, added);
+        addAt(rings->coarse, coarse, added);
+    }
+}
+
+void mergeCounters(TargetEvidence& evidence, const ObserverId& observer, const TargetCounters& counters, TimePoint now)
+{
+    auto& own = evidence.byObserver[observer];
+    auto& domain = evidence.byFailureDomain[observer.failureDomain];
+    const RingSet fine { own.fine, domain.fine, evidence.pooled.fine };
+    const RingSet coarse { own.coarse, domain.coarse, evidence.pooled.coarse };
+    for (const auto& bucket : counters.fine)
+        mergeBucket(fine, bucket, now);
+    for (const auto& bucket : counters.coarse)
+        mergeBucket(coarse, bucket, now);
+}
+
+TargetCounters countersSince(std::string_view target, const Rings& rings, TimePoint since)
+{
+    return { std::string(target), bucketsSince(rings.fine, since), bucketsSince(rings.coarse, since) };
+}
+
+bool isStale(const TargetEvidence& evidence, TimePoint now) noexcept
+{
+    return isStaleRing(evidence.pooled.coarse, now);
+}
+
+void dropStaleObservers(TargetEvidence& evidence, TimePoint now)
+{
+    std::erase_if(evidence.byObserver, [&](const auto& entry) { return isStaleRing(entry.second.coarse, now); });
+    std::erase_if(evidence.byFailureDomain, [&](const auto& entry) { return isStaleRing(entry.second.coarse, now); });
+}
+
+}
--- /dev/null
+++ b/packages/health/src/Health.cpp
@@ -0,0 +1,339 @@
+#include "flamingowick/health/Health.h"
+
+#include "flamingowick/health/detail/Judgement.h"
+#include "flamingowick/model/Invariant.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingowick::health {
+
+namespace {
+
+    constexpr Duration suspicionSpan = std::chrono::seconds(5);
+    constexpr Duration pruneInterval = std::chrono::seconds(10);
+
+    std::vector<PoolMember> membersAt(const HealthState& state, TimePoint now)
+    {
+        std::vector<PoolMember> members;
+        members.reserve(state.targets.size());
+        for (const auto& [address, listed] : state.targets)
+            members.push_back({ address, listed.leaving, now < listed.warmUntil });
+        return members;
+    }
+
+    std::vector<Restriction> wantedAt(const HealthState& state, TimePoint now)
+    {
+        std::vector<Restriction> wanted;
+        for (const auto& [scope, record] : state.records) {
+            const auto standing = standingAt(record, state.policy, now);
+            if (standing.standing != Standing::Healthy && state.targets.contains(scope.target))
+                wanted.push_back({ scope, standing, record.severity });
+        }
+        return wanted;
+    }
+
+    FloorRequest floorRequest(const HealthState& state, std::span<const PoolMember> members, std::span<const Restriction> wanted)
+    {
+        return { members, wanted, state.limits.slots, state.policy.capacityFloor };
+    }
+
+    const Restriction* findScope(std::span<const Restriction> restrictions, const Scope& scope) noexcept
+    {
+        const auto found = std::find_if(restrictions.begin(), restrictions.end(), [&](const Restriction& restriction) {
+            return restriction.scope == scope;
+        });
+        return found == restrictions.end() ? nullptr : &*found;
+    }
+
+    Action actionFor(const HealthState& state, const Restriction& restriction)
+    {
+        const auto& scope = restriction.scope;
+        const auto& record = state.records.at(scope);
+        const auto standing = restriction.standing;
+        if (standing.standing != Standing::Ejected)
+            return Readmit { scope.target, standing.share, standing.standing == Standing::Trickle, scope.fromFailureDomain };
+        if (scope.fromFailureDomain.empty())
+            return Eject { scope.target, endOf(record, state.policy), record.reason };
+        return PathAvoid { scope.target, scope.fromFailureDomain, endOf(record, state.policy), record.reason };
+    }
+
+    void appendChanges(const HealthState& state, std::span<const Restriction> before, std::vector<Action>& actions)
+    {
+        for (const auto& restriction : before) {
+            const auto& scope = restriction.scope;
+            if (!findScope(state.applied, scope) && state.targets.contains(scope.target))
+                actions.emplace_back(Readmit { scope.target, 1, false, scope.fromFailureDomain });
+        }
+        for (const auto& restriction : state.applied) {
+            const auto* old = findScope(before, restriction.scope);
+            if (!old || old->standing != restriction.standing)
+                actions.push_back(actionFor(state, restriction));
+        }
+    }
+
+    std::vector<Scope> scopesOf(std::span<const Restriction> restrictions)
+    {
+        std::vector<Scope> scopes;
+        for (const auto& restriction : restrictions)
+            scopes.push_back(restriction.scope);
+        return scopes;
+    }
+
+    // Brings the restrictions in force into line with records, targets, document and time.
+    void refresh(HealthState& state, TimePoint now, std::vector<Action>& actions)
+    {
+        if (state.records.empty() && state.applied.empty())
+            return;
+        const auto members = membersAt(state, now);
+        const auto wanted = wantedAt(state, now);
+        const auto request = floorRequest(state, members, wanted);
+        auto verdict = state.decisions.floor(request);
+        checkInvariant(respectsFloor(request, verdict.applied), Invariant::CapacityFloor, "ejections go below the capacity floor");
+        const auto before = std::exchange(state.applied, std::move(verdict.applied));
+        appendChanges(state, before, actions);
+        const auto heldBefore = std::exchange(state.heldBack, std::move(verdict.heldBack));
+        auto held = scopesOf(state.heldBack);
+        if (held.empty() || held == scopesOf(heldBefore))
+            return;
+        const auto floor = floorSlots(members.size(), state.limits.slots, state.policy.capacityFloor);
+        actions.emplace_back(FloorHit { healthyCapacity(request, state.applied, ""), floor, std::move(held) });
+    }
+
+    // Weighs a target whose evidence has changed.
+    void weighTarget(HealthState& state, std::string_view target, TimePoint now)
+    {
+        detail::judge(state, target, now);
+        detail::advanceTrickle(state, target, now);
+    }
+
+    void noteSharedCause(HealthState& state, TimePoint now, std::vector<Action>& actions)
+    {
+        if (detail::updateSharedCause(state, now))
+            actions.emplace_back(SharedCause { state.sharedCause.on });
+    }
+
+    // True while a record keeps the target from its full share, from anywhere.
+    bool isRestricted(const HealthState& state, std::string_view target, TimePoint now)
+    {
+        for (auto it = state.records.lower_bound({ TargetAddress(target), "" }); it != state.records.end() && it->first.target == target; ++it) {
+            if (standingAt(it->second, state.policy, now).standing != Standing::Healthy)
+                return true;
+        }
+        return false;
+    }
+
+    Counts countsOf(const Observation& observation, bool slow) noexcept
+    {
+        const auto failed = observation.result != Result::Ok;
+        return { 1, failed ? 1U : 0U, slow ? 1U : 0U, 0 };
+    }
+
+    void visit(HealthState& state, const Observation& observation, TimePoint now, std::vector<Action>& actions)
+    {
+        const auto listed = state.targets.find(observation.target);
+        if (listed == state.targets.end())
+            return;
+        auto& baseline = state.baselines[observation.idempotent ? 1 : 0];
+        const auto ok = observation.result == Result::Ok;
+        const auto warming = now < listed->second.warmUntil;
+        const auto slow = ok && !warming && isSlow(baseline, observation.latency, state.policy.slowFactor);
+        if (ok)
+            addLatency(baseline, observation.target, observation.latency);
+        addCounts(state.evidence[observation.target], observation.observer, now, countsOf(observation, slow));
+        if (ok && !slow && !isRestricted(state, observation.target, now))
+            return;
+        if (!ok || slow)
+            noteSharedCause(state, now, actions);
+        weighTarget(state, observation.target, now);
+        refresh(state, now, actions);
+    }
+
+    bool isPlausible(const EjectionRecord& record, TimePoint now) noexcept
+    {
+        return record.ejectedAt <= now + clockTolerance && record.changedAt <= now + clockTolerance;
+    }
+
+    void mergeRecord(HealthState& state, const ScopedRecord& incoming)
+    {
+        const auto found = state.records.find(incoming.scope);
+        if (found == state.records.end())
+            state.records.emplace(incoming.scope, incoming.record);
+        else
+            found->second = EjectionRecord(state.decisions.join(found->second, incoming.record));
+    }
+
+    void visit(HealthState& state, const PooledSummary& summary, TimePoint now, std::vector<Action>& actions)
+    {
+        for (const auto& record : summary.records) {
+            if (isPlausible(record.record, now) && !isSpent(record.record, state.policy, now))
+                mergeRecord(state, record);
+        }
+        for (const auto& counters : summary.counters)
+            state.decisions.merge(state.evidence[counters.target], summary.observer, counters, now);
+        noteSharedCause(state, now, actions);
+        for (const auto& counters : summary.counters)
+            weighTarget(state, counters.target, now);
+        refresh(state, now, actions);
+    }
+
+    void suspect(HealthState& state, const TargetAddress& target, TimePoint now, std::vector<Action>& actions)
+    {
+        if (!state.targets.contains(target))
+            return;
+        state.suspectUntil[target] = now + suspicionSpan;
+        detail::judge(state, target, now);
+        refresh(state, now, actions);
+    }
+
+    void visit(HealthState& state, const ProbeResult& probe, TimePoint now, std::vector<Action>& actions)
+    {
+        if (!probe.ok)
+            suspect(state, probe.target, now, actions);
+    }
+
+    void visit(HealthState& state, const LoadReport& report, TimePoint now, std::vector<Action>& actions)
+    {
+        if (report.overloaded)
+            suspect(state, report.target, now, actions);
+    }
+
+    ListedTarget listTarget(const HealthState& state, const Target& target, TimePoint now)
+    {
+        const auto known = state.targets.find(target.address);
+        auto listed = known == state.targets.end() ? ListedTarget {} : known->second;
+        listed.leaving = target.leaving;
+        if (known == state.targets.end() && state.targetsKnown) {
+            listed.warmUntil = now + state.limits.warmUp;
+            listed.evidenceFrom = now;
+        }
+        return listed;
+    }
+
+    void visit(HealthState& state, const TargetsChanged& change, TimePoint now, std::vector<Action>& actions)
+    {
+        std::map<TargetAddress, ListedTarget, std::less<>> targets;
+        for (const auto& target : change.targets)
+            targets.emplace(target.address, listTarget(state, target, now));
+        for (const auto& [address, listed] : state.targets) {
+            if (targets.contains(address))
+                continue;
+            for (auto& baseline : state.baselines)
+                forgetTarget(baseline, address);
+            state.suspectUntil.erase(address);
+        }
+        state.targets = std::move(targets);
+        state.targetsKnown = true;
+        refresh(state, now, actions);
+    }
+
+    void visit(HealthState& state, const DocumentChanged& change, TimePoint now, std::vector<Action>& actions)
+    {
+        state.policy = change.policy;
+        state.limits = change.limits;
+        refresh(state, now, actions);
+    }
+
+    void visit(HealthState& state, const CrashExcluded& excluded, TimePoint now, std::vector<Action>& actions)
+    {
+        const auto found = state.evidence.find(excluded.target);
+        if (found == state.evidence.end())
+            return;
+        addCounts(found->second, excluded.observer, excluded.observedAt, Counts { 0, 0, 0, 1 });
+        detail::reconsider(state, excluded.target, now);
+        refresh(state, now, actions);
+    }
+
+    void prune(HealthState& state, TimePoint now)
+    {
+        state.prunedAt = now;
+        std::erase_if(state.evidence, [&](const auto& entry) {
+            return !state.targets.contains(entry.first) && isStale(entry.second, now);
+        });
+        for (auto& [address, evidence] : state.evidence)
+            dropStaleObservers(evidence, now);
+        std::erase_if(state.records, [&](const auto& entry) { return isSpent(entry.second, state.policy, now); });
+        std::erase_if(state.suspectUntil, [&](const auto& entry) { return entry.second < now; });
+    }
+
+    void visit(HealthState& state, const Tick&, TimePoint now, std::vector<Action>& actions)
+    {
+        if (now - state.prunedAt >= pruneInterval)
+            prune(state, now);
+        noteSharedCause(state, now, actions);
+        for (const auto& [scope, record] : state.records)
+            detail::advanceTrickle(state, scope.target, now);
+        refresh(state, now, actions);
+    }
+
+    bool isHeldBack(const HealthState& state, std::string_view target) noexcept
+    {
+        return std::any_of(state.heldBack.begin(), state.heldBack.end(), [&](const Restriction& restriction) {
+            return restriction.scope.target == target;
+        });
+    }
+
+}
+
+std::vector<Action> handle(HealthState& state, const Event& event, TimePoint now)
+{
+    std::vector<Action> actions;
+    std::visit([&](const auto& concrete) { visit(state, concrete, now, actions); }, event);
+    return actions;
+}
+
+PooledSummary makeSummary(const HealthState& state, const ObserverId& observer, TimePoint since)
+{
+    PooledSummary summary { observer, {}, {} };
+    for (const auto& [address, evidence] : state.evidence) {
+        const auto own = evidence.byObserver.find(observer);
+        if (own != evidence.byObserver.end())
+            summary.counters.push_back(countersSince(address, own->second, since));
+    }
+    for (const auto& [scope, record] : state.records)
+        summary.records.push_back({ scope, record });
+    return summary;
+}
+
+StandingShare standingOf(const HealthState& state, std::string_view target, std::string_view fromFailureDomain) noexcept
+{
+    StandingShare lowest;
+    for (const auto& restriction : state.applied) {
+        const auto& from = restriction.scope.fromFailureDomain;
+        const auto concerned = restriction.scope.target == target && (from.empty() || from == fromFailureDomain);
+        if (concerned && restriction.standing.share < lowest.share)
+            lowest = restriction.standing;
+    }
+    return lowest;
+}
+
+unsigned healthyCapacity(const HealthState& state, std::string_view fromFailureDomain, TimePoint now)
+{
+    const auto members = membersAt(state, now);
+    return healthyCapacity(floorRequest(state, members, {}), state.applied, fromFailureDomain);
+}
+
+Explanation explain(const HealthState& state, std::string_view target, TimePoint now)
+{
+    const Scope everywhere { TargetAddress(target), "" };
+    Explanation explanation;
+    explanation.target = target;
+    explanation.standing = standingOf(state, target, "");
+    explanation.heldBackByFloor = isHeldBack(state, target);
+    explanation.sharedCause = state.sharedCause.on;
+    explanation.threshold = detail::thresholdOf(state, everywhere, now);
+    const auto record = state.records.find(everywhere);
+    if (record != state.records.end())
+        explanation.record = record->second;
+    const auto evidence = state.evidence.find(target);
+    if (evidence == state.evidence.end())
+        return explanation;
+    explanation.observers = evidence->second.byObserver.size();
+    const auto from = detail::evidenceStartOf(state, everywhere);
+    const auto tests = testsFor(state.policy);
+    for (std::size_t i = 0; i < tests.size(); ++i)
+        explanation.scores[i] = detail::strongerScore(evidence->second.pooled, tests[i], from, thresholdsFor(state.policy));
+    return explanation;
+}
+
+}
--- /dev/null
+++ b/packages/health/src/SequentialTest.cpp
@@ -0,0 +1,170 @@
+#include "flamingowick/health/SequentialTest.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingowick::health {
+
+namespace {
+
+    // Outcomes that a target sees between two faults, about one busy day.
+    constexpr double outcomesBetweenFaults = 1e6;
+    constexpr double lowestThreshold = 4.0;
+    constexpr double healthySlowShare = 0.05;
+    constexpr double failingSlowShare = 0.5;
+    constexpr double smallestShare = 1e-4;
+    constexpr double largestShare = 0.95;
+    // How many times the pool's share a target must fail to count as worse than the pool.
+    constexpr double worseThanPool = 2.5;
+    // One chance in twenty that a failing target passes the trickle, by Wald's bound.
+    const double clearEvidence = std::log(20.0);
+    // Most buckets that a verdict must span where false ejections weigh heavily.
+    constexpr double mostBuckets = 3.0;
+    constexpr double ceilingOverThreshold = 1.5;
+
+    struct Weights {
+        double bad;
+        double good;
+    };
+
+    Weights weightsOf(const SequentialTest& test) noexcept
+    {
+        return {
+            std::log(test.failingShare / test.healthyShare),
+            std::log((1 - test.failingShare) / (1 - test.healthyShare)),
+        };
+    }
+
+    struct Sample {
+        std::uint32_t bad;
+        std::uint32_t total;
+    };
+
+    Sample sampleOf(const Counts& counts, Symptom symptom) noexcept
+    {
+        const auto forgiven = std::min(counts.forgiven, counts.errors);
+        const auto total = counts.total - std::min(forgiven, counts.total);
+        if (symptom != Symptom::Slowness)
+            return { std::min(counts.errors - forgiven, total), total };
+        const auto answered = counts.total - std::min(counts.errors, counts.total);
+        return { std::min(counts.slow, answered), answered };
+    }
+
+    double ratioOf(const Sample& sample, const Weights& weights) noexcept
+    {
+        return sample.bad * weights.bad + (sample.total - sample.bad) * weights.good;
+    }
+
+    // Calls visit(index, counts) for the ring's buckets from an index on, oldest first.
+    template <typename Visit>
+    void forEachBucket(const Ring& ring, std::int64_t from, Visit visit)
+    {
+        std::int64_t newest = -1;
+        for (const auto& bucket : ring.buckets)
+            newest = std::max(newest, bucket.index);
+        if (newest < 0)
+            return;
+        const auto size = static_cast<std::int64_t>(ring.buckets.size());
+        for (auto index = std::max(from, newest - size + 1); index <= newest; ++index) {
+            if (index >= 0)
+                visit(index, countsAt(ring, index));
+        }
+    }
+
+    double clampShare(double share) noexcept
+    {
+        return std::clamp(share, smallestShare, largestShare);
+    }
+
+}
+
+std::string_view toString(Symptom symptom) noexcept
+{
+    switch (symptom) {
+    case Symptom::Errors:
+        return "errors";
+    case Symptom::RareErrors:
+        return "rare-errors";
+    case Symptom::Slowness:
+        return "slowness";
+    }
+    return "errors";
+}
+
+std::array<SequentialTest, symptomCount> testsFor(const HealthPolicy& policy) noexcept
+{
+    const auto healthy = std::clamp(policy.healthyErrorShare, smallestShare, largestShare / 2);
+    const auto failing = std::clamp(policy.failingErrorShare, healthy * 1.5, largestShare);
+    return { {
+        { Symptom::Errors, healthy, failing },
+        { Symptom::RareErrors, healthy, std::sqrt(healthy * failing) },
+        { Symptom::Slowness, healthySlowShare, failingSlowShare },
+    } };
+}
+
+Thresholds thresholdsFor(const HealthPolicy& policy) noexcept
+{
+    constexpr double tiny = 1e-9;
+    const auto ratio = std::max(policy.falseEjectionCost, tiny) / std::max(policy.lateEjectionCost, tiny);
+    Thresholds thresholds;
+    thresholds.eject = std::max(lowestThreshold, std::log(outcomesBetweenFaults * ratio));
+    thresholds.probation = thresholds.eject / 2;
+    thresholds.suspect = thresholds.eject / 2;
+    thresholds.clear = clearEvidence;
+    thresholds.bucketLimit = thresholds.eject / std::clamp(1 + std::log10(ratio), 1.0, mostBuckets);
+    thresholds.ceiling = thresholds.eject * ceilingOverThreshold;
+    return thresholds;
+}
+
+SequentialTest relativeTo(const SequentialTest& test, double poolShare) noexcept
+{
+    auto relative = test;
+    relative.healthyShare = clampShare(std::max(test.healthyShare, poolShare));
+    if (poolShare > test.healthyShare)
+        relative.failingShare = clampShare(std::max(test.failingShare, poolShare * worseThanPool));
+    return relative;
+}
+
+Score cusum(const Ring& ring, const SequentialTest& test, std::int64_t from, const Thresholds& thresholds) noexcept
+{
+    const auto weights = weightsOf(test);
+    Score score;
+    score.width = ring.width;
+    forEachBucket(ring, from, [&](std::int64_t index, const Counts& counts) {
+        const auto sample = sampleOf(counts, test.symptom);
+        const auto value = score.value + std::min(ratioOf(sample, weights), thresholds.bucketLimit);
+        if (value <= 0) {
+            score = Score { 0, 0, 0, index + 1, ring.width };
+            return;
+        }
+        score.value = std::min(value, thresholds.ceiling);
+        score.bad += sample.bad;
+        score.total += sample.total;
+    });
+    return score;
+}
+
+double logLikelihoodRatio(const Ring& ring, const SequentialTest& test, std::int64_t from) noexcept
+{
+    const auto weights = weightsOf(test);
+    double sum = 0;
+    forEachBucket(ring, from, [&](std::int64_t, const Counts& counts) {
+        sum += ratioOf(sampleOf(counts, test.symptom), weights);
+    });
+    return sum;
+}
+
+Score tally(const Ring& ring, Symptom symptom, std::int64_t from) noexcept
+{
+    Score score;
+    score.since = from;
+    score.width = ring.width;
+    forEachBucket(ring, from, [&](std::int64_t, const Counts& counts) {
+        const auto sample = sampleOf(counts, symptom);
+        score.bad += sample.bad;
+        score.total += sample.total;
+    });
+    return score;
+}
+
+}
