Add the platform adapter and the stand-in platform

The daemon reads and writes its objects over the platform's HTTP API. The adapter runs libcurl on one thread, limits calls per second and in flight, and follows watches with backoff and a new list when the history is gone. Writes use connections of their own, because libcurl sends a request again by itself when a pooled connection turns out closed.

The stand-in serves the API in memory with switches for outage, slowness, lost answers, lag, deaf clients and a rate limit.

Sanitizer builds were not run yet.

--- /dev/null
+++ b/packages/platform/src/Wire.cpp
@@ -0,0 +1,187 @@
+#include "flamingowick/platform/detail/Wire.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cctype>
+
+namespace flamingowick::platform::detail {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr std::string_view apiVersion = "flamingowick.example/v1";
+    constexpr std::string_view apiPath = "/apis/flamingowick.example/v1/";
+    constexpr std::string_view changeIdAnnotation = "flamingowick.example/change-id";
+    constexpr std::string_view changedByAnnotation = "flamingowick.example/changed-by";
+    constexpr int statusGone = 410;
+
+    std::string_view kindOf(Plural plural) noexcept
+    {
+        constexpr std::array<std::string_view, allPlurals.size()> kinds {
+            "ServiceDocument", "AcceptedDocument", "KeyRange", "FleetStatus", "TargetList", "VmList", "AuditSegment"
+        };
+        return kinds.at(static_cast<std::size_t>(plural));
+    }
+
+    std::string encodePercent(std::string_view text)
+    {
+        constexpr std::string_view digits = "0123456789ABCDEF";
+        std::string encoded;
+        for (const char character : text) {
+            const auto byte = static_cast<unsigned char>(character);
+            if (std::isalnum(byte) != 0 || character == '-' || character == '.' || character == '_' || character == '~') {
+                encoded.push_back(character);
+                continue;
+            }
+            encoded.push_back('%');
+            encoded.push_back(digits[byte >> 4U]);
+            encoded.push_back(digits[byte & 15U]);
+        }
+        return encoded;
+    }
+
+    // Returns the member as text; empty when it is absent or no string.
+    std::string textOf(const json& object, std::string_view name)
+    {
+        if (!object.is_object())
+            return {};
+        const auto found = object.find(name);
+        return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+    }
+
+    json memberOf(const json& object, std::string_view name)
+    {
+        if (!object.is_object())
+            return {};
+        const auto found = object.find(name);
+        return found != object.end() ? *found : json();
+    }
+
+    json parse(std::string_view text) { return json::parse(text, nullptr, false); }
+
+    std::optional<Object> readObject(Plural plural, const json& value)
+    {
+        const json metadata = memberOf(value, "metadata");
+        const json annotations = memberOf(metadata, "annotations");
+        Object object;
+        object.plural = plural;
+        object.name = textOf(metadata, "name");
+        object.resourceVersion = textOf(metadata, "resourceVersion");
+        object.changeId = textOf(annotations, changeIdAnnotation);
+        object.changedBy = textOf(annotations, changedByAnnotation);
+        if (object.name.empty() || object.resourceVersion.empty())
+            return std::nullopt;
+        if (value.contains("spec"))
+            object.specJson = value.at("spec").dump();
+        return object;
+    }
+
+    std::optional<ChangeType> changeTypeOf(std::string_view text) noexcept
+    {
+        if (text == "ADDED")
+            return ChangeType::Added;
+        if (text == "MODIFIED")
+            return ChangeType::Modified;
+        if (text == "DELETED")
+            return ChangeType::Deleted;
+        return std::nullopt;
+    }
+
+}
+
+std::string pathOf(Plural plural)
+{
+    return std::string(apiPath).append(toString(plural));
+}
+
+std::string pathOf(Plural plural, std::string_view name)
+{
+    return pathOf(plural).append("/").append(encodePercent(name));
+}
+
+std::string watchPathOf(Plural plural, std::string_view resourceVersion, std::chrono::seconds timeout)
+{
+    std::string path = pathOf(plural).append("?watch=1&allowWatchBookmarks=true&resourceVersion=");
+    return path.append(encodePercent(resourceVersion)).append("&timeoutSeconds=").append(std::to_string(timeout.count()));
+}
+
+std::optional<std::string> encodeObject(const Object& object)
+{
+    const json spec = parse(object.specJson);
+    if (spec.is_discarded())
+        return std::nullopt;
+    json metadata { { "name", object.name } };
+    if (!object.resourceVersion.empty())
+        metadata["resourceVersion"] = object.resourceVersion;
+    metadata["annotations"] = { { changeIdAnnotation, object.changeId }, { changedByAnnotation, object.changedBy } };
+    const json whole { { "apiVersion", apiVersion }, { "kind", kindOf(object.plural) }, { "metadata", metadata }, { "spec", spec } };
+    try {
+        return whole.dump();
+    } catch (const json::type_error&) {
+        return std::nullopt;
+    }
+}
+
+std::string encodePrecondition(std::string_view resourceVersion)
+{
+    const json options {
+        { "apiVersion", "v1" },
+        { "kind", "DeleteOptions" },
+        { "preconditions", { { "resourceVersion", resourceVersion } } },
+    };
+    return options.dump(-1, ' ', true, json::error_handler_t::replace);
+}
+
+std::optional<Object> decodeObject(Plural plural, std::string_view text)
+{
+    return readObject(plural, parse(text));
+}
+
+std::optional<ObjectList> decodeList(Plural plural, std::string_view text)
+{
+    const json parsed = parse(text);
+    const json items = memberOf(parsed, "items");
+    ObjectList list;
+    list.resourceVersion = textOf(memberOf(parsed, "metadata"), "resourceVersion");
+    if (!items.is_array() || list.resourceVersion.empty())
+        return std::nullopt;
+    list.objects.reserve(items.size());
+    for (const json& item : items) {
+        std::optional<Object> object = readObject(plural, item);
+        if (!object)
+            return std::nullopt;
+        list.objects.push_back(std::move(*object));
+    }
+    return list;
+}
+
+WatchLine decodeWatchLine(Plural plural, std::string_view text)
+{
+    WatchLine line;
+    const json parsed = parse(text);
+    const std::string type = textOf(parsed, "type");
+    const json object = memberOf(parsed, "object");
+    if (type == "ERROR") {
+        if (memberOf(object, "code") == statusGone)
+            line.kind = WatchLineKind::Expired;
+        return line;
+    }
+    line.resourceVersion = textOf(memberOf(object, "metadata"), "resourceVersion");
+    if (line.resourceVersion.empty())
+        return line;
+    if (type == "BOOKMARK") {
+        line.kind = WatchLineKind::Bookmark;
+        return line;
+    }
+    const std::optional<ChangeType> change = changeTypeOf(type);
+    std::optional<Object> changed = readObject(plural, object);
+    if (!change || !changed)
+        return line;
+    line.kind = WatchLineKind::Change;
+    line.event = { *change, std::move(*changed) };
+    return line;
+}
+
+}
