Serve a request from end to end: the daemon over all packages

Caller, entry, route, dispatcher over ZeroMQ, target over libcurl and back, each duty on its own thread, joined by bounded rings. The unit tests found two faults: finish() moved the entry that its own argument referred to, which the OwnAnswerOnly invariant stopped; a resend to another dispatcher could pick one that was tried before, since the order shifts with the members.

--- /dev/null
+++ b/packages/daemon/app/flamingowickd.cpp
@@ -0,0 +1,96 @@
+#include "flamingowick/daemon/Daemon.h"
+#include "flamingowick/model/Error.h"
+#include "flamingowick/settings/DaemonSettingsText.h"
+#include "flamingowick/settings/FindingText.h"
+#include "flamingowick/telemetry/Log.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+// The daemon that runs on each entry VM.
+
+DEFINE_string(settings, "", "File with the daemon's settings, JSON with comments.");
+DEFINE_bool(check, false, "Check the settings, print findings and exit.");
+DEFINE_bool(debug, false, "Log debug lines too.");
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitFailure = 1;
+constexpr int exitBadSettings = 2;
+constexpr int exitInvariantBroken = 3;
+
+using namespace flamingowick;
+
+bool readFile(const std::string& path, std::string& text)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+        return false;
+    std::ostringstream content;
+    content << file.rdbuf();
+    text = content.str();
+    return true;
+}
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+int runDaemon(const DaemonSettings& settings)
+{
+    // Blocked in all threads; one thread waits for them.
+    sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    daemon::Daemon daemon(settings);
+    std::thread([&daemon, signals] {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        daemon.requestShutdown();
+    }).detach();
+    daemon.run();
+    return exitOk;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("flamingowickd --settings FILE: runs one daemon of the proxy fleet.");
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::string text;
+    if (!readFile(FLAGS_settings, text)) {
+        std::cerr << "flamingowickd: can't read settings file '" << FLAGS_settings << "'\n";
+        return exitBadSettings;
+    }
+    auto checked = settings::parseDaemonSettings(text);
+    if (!checked.accepted()) {
+        std::cerr << settings::renderFindings(checked.findings, FLAGS_settings);
+        return exitBadSettings;
+    }
+    if (FLAGS_check)
+        return exitOk;
+    telemetry::openLog(FLAGS_debug ? telemetry::Level::Debug : telemetry::Level::Info);
+    try {
+        return runDaemon(checked.value);
+    } catch (const InvariantViolation& error) {
+        telemetry::logError(telemetry::Part::Daemon, error.what());
+        // Nothing may go on from a state that broke a promise.
+        std::_Exit(exitInvariantBroken);
+    } catch (const std::exception& error) {
+        telemetry::logError(telemetry::Part::Daemon, error.what());
+        return exitFailure;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/CoreContext.cpp
@@ -0,0 +1,33 @@
+#include "flamingowick/daemon/CoreContext.h"
+
+namespace flamingowick::daemon {
+
+namespace {
+
+    Member selfAsMember(const DaemonSettings& settings, const DaemonId& id)
+    {
+        return { id, settings.failureDomain, settings.peerAddress, Clock::now() };
+    }
+
+    Duration wallClockOffset()
+    {
+        return std::chrono::milliseconds(wallClockMilliseconds()) - Clock::now().time_since_epoch();
+    }
+
+}
+
+CoreContext::CoreContext(DaemonSettings daemonSettings, const DaemonId& id, Ports outside)
+    : settings(std::move(daemonSettings))
+    , self(id)
+    , ports(std::move(outside))
+    , members(selfAsMember(this->settings, id))
+{
+}
+
+TimePoint fleetTime(TimePoint now)
+{
+    static const Duration offset = wallClockOffset();
+    return now + offset;
+}
+
+}
--- /dev/null
+++ b/packages/daemon/tests/unit-core.cpp
@@ -0,0 +1,209 @@
+#include "FakePorts.h"
+
+// Last: its macros for new would break the other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace flamingowick;
+using namespace flamingowick::daemon;
+
+namespace {
+
+platform::Object makeDocument()
+{
+    platform::Object object;
+    object.plural = platform::Plural::ServiceDocuments;
+    object.name = "ledger";
+    object.resourceVersion = "1";
+    object.specJson = R"({"text": "{\"name\": \"ledger\", \"routes\": [{\"host\": \"ledger.example\", \"pathPrefix\": \"/\"}]}"})";
+    return object;
+}
+
+platform::Object makeTargets()
+{
+    platform::Object object;
+    object.plural = platform::Plural::TargetLists;
+    object.name = "ledger";
+    object.resourceVersion = "2";
+    object.specJson = R"({"targets": [{"address": "127.0.0.1:9001", "failureDomain": "a", "state": "live"}]})";
+    return object;
+}
+
+DaemonSettings makeSettings()
+{
+    DaemonSettings settings;
+    settings.vm = "vm-1";
+    settings.failureDomain = "a";
+    settings.peerAddress = "127.0.0.1:1";
+    settings.seeds = { "127.0.0.1:2" };
+    settings.shutdownGrace = std::chrono::seconds(1);
+    return settings;
+}
+
+}
+
+TEST_GROUP(Core)
+{
+    FakePorts ports;
+    DaemonId self { "vm-1", 10 };
+    std::unique_ptr<Core> core;
+    gateway::ExchangeToken tokens { 0 };
+
+    void setup() override
+    {
+        Clock::pause();
+        this->core = std::make_unique<Core>(makeSettings(), this->self, this->ports.make(), Clock::now());
+        this->core->handle(platform::Result(platform::WatchSnapshot { 1, { makeDocument() }, "1" }), Clock::now());
+        this->core->handle(platform::Result(platform::WatchSnapshot { 2, { makeTargets() }, "2" }), Clock::now());
+    }
+
+    void teardown() override
+    {
+        this->core.reset();
+        Clock::resume();
+    }
+
+    gateway::ExchangeToken call(std::string_view method, std::string_view host = "ledger.example")
+    {
+        gateway::HttpRequest request;
+        request.token = ++this->tokens;
+        request.method = method;
+        request.target = "/x";
+        request.headers = { { "Host", std::string(host) }, { "Connection", "keep-alive, X-Private" }, { "X-Private", "1" } };
+        request.remoteAddress = "127.0.0.1";
+        this->core->handle(CallerRequest { std::move(request) }, Clock::now());
+        return this->tokens;
+    }
+
+    void endAttempt(gateway::AttemptEnd end, unsigned status)
+    {
+        gateway::AttemptResult result;
+        result.attempt = this->ports.attempts.back().attempt;
+        result.end = end;
+        result.status = status;
+        result.body = "whole answer";
+        this->core->handle(std::move(result), Clock::now());
+    }
+
+    // Joins as many peers as are needed for one of them to come before this daemon in rank.
+    void joinPeers()
+    {
+        for (int number = 2; number < 10; ++number) {
+            std::string vm = "vm-" + std::to_string(number);
+            peers::Envelope envelope { { vm, 20 }, "127.0.0.1:" + std::to_string(number), 0, 0, peers::Heartbeat { "b" } };
+            this->core->handle(std::move(envelope), Clock::now());
+        }
+    }
+
+    const peers::ForwardRequest& lastForward() const
+    {
+        return std::get<peers::ForwardRequest>(this->ports.last<peers::ForwardRequest>()->message);
+    }
+};
+
+TEST(Core, PassesATargetsWholeAnswerToTheCaller)
+{
+    gateway::ExchangeToken token = call("GET");
+    CHECK_EQUAL(1U, ports.attempts.size());
+    STRCMP_EQUAL("127.0.0.1:9001", ports.attempts[0].target.c_str());
+    CHECK(gateway::findHeader(ports.attempts[0].headers, "X-Private") == nullptr);
+    endAttempt(gateway::AttemptEnd::Answered, 200);
+    CHECK_EQUAL(1U, ports.responses.size());
+    CHECK_EQUAL(token, ports.responses[0].token);
+    STRCMP_EQUAL("whole answer", ports.responses[0].response.body.c_str());
+    STRCMP_EQUAL("answered", headerOf(ports.responses[0].response, "X-Outcome").c_str());
+}
+
+TEST(Core, AnswersAtOnceWhenNoRouteMatches)
+{
+    call("GET", "other.example");
+    CHECK_EQUAL(404U, ports.responses[0].response.status);
+    STRCMP_EQUAL("not-run", headerOf(ports.responses[0].response, "X-Outcome").c_str());
+}
+
+TEST(Core, CallsALostPaymentUnknownAndDoesNotSendItAgain)
+{
+    call("POST");
+    endAttempt(gateway::AttemptEnd::ConnectionLost, 0);
+    CHECK_EQUAL(1U, ports.attempts.size());
+    STRCMP_EQUAL("unknown", headerOf(ports.responses[0].response, "X-Outcome").c_str());
+    CHECK(!headerOf(ports.responses[0].response, "Retry-After").empty());
+}
+
+TEST(Core, TriesTheNextDispatcherWhenNothingWasSent)
+{
+    joinPeers();
+    call("POST");
+    CHECK(ports.last<peers::ForwardRequest>() != nullptr);
+    std::string firstAddress = ports.last<peers::ForwardRequest>()->address;
+    core->handle(PeerNotSent { firstAddress, lastForward() }, Clock::now());
+    CHECK(firstAddress != ports.last<peers::ForwardRequest>()->address);
+    CHECK_EQUAL(2U, lastForward().attempt);
+}
+
+TEST(Core, CallsAPaymentUnknownWhenItsDispatcherIsLost)
+{
+    joinPeers();
+    call("POST");
+    core->handle(PeerLinkLost { ports.last<peers::ForwardRequest>()->address }, Clock::now());
+    CHECK_EQUAL(1U, ports.responses.size());
+    STRCMP_EQUAL("unknown", headerOf(ports.responses[0].response, "X-Outcome").c_str());
+}
+
+TEST(Core, SendsALookUpOnceMoreWhenItsDispatcherIsLost)
+{
+    joinPeers();
+    call("GET");
+    std::string firstAddress = ports.last<peers::ForwardRequest>()->address;
+    core->handle(PeerLinkLost { firstAddress }, Clock::now());
+    CHECK_EQUAL(0U, ports.responses.size());
+    CHECK(firstAddress != ports.last<peers::ForwardRequest>()->address);
+    // The second dispatcher refuses; the first may have run it all the same.
+    peers::ForwardAnswer answer { lastForward().request.id, 2, makeProblem(503, Outcome::NotRun, "queue-full", std::chrono::seconds(1)) };
+    core->handle(peers::Envelope { { "vm-9", 20 }, "127.0.0.1:9", 10, 0, answer }, Clock::now());
+    STRCMP_EQUAL("unknown", headerOf(ports.responses[0].response, "X-Outcome").c_str());
+}
+
+TEST(Core, DropsAnAnswerOfAnEarlierAttempt)
+{
+    joinPeers();
+    call("GET");
+    RequestId id = lastForward().request.id;
+    core->handle(PeerLinkLost { ports.last<peers::ForwardRequest>()->address }, Clock::now());
+    peers::ForwardAnswer late { id, 1, Answer { 200, {}, "late", Outcome::Answered, {}, {}, {} } };
+    core->handle(peers::Envelope { { "vm-2", 20 }, "127.0.0.1:2", 10, 0, late }, Clock::now());
+    CHECK_EQUAL(0U, ports.responses.size());
+    late.attempt = 2;
+    core->handle(peers::Envelope { { "vm-3", 20 }, "127.0.0.1:3", 10, 0, late }, Clock::now());
+    core->handle(peers::Envelope { { "vm-3", 20 }, "127.0.0.1:3", 10, 0, late }, Clock::now());
+    CHECK_EQUAL(1U, ports.responses.size());
+}
+
+TEST(Core, CancelsTheAttemptOfACallerThatHangsUp)
+{
+    gateway::ExchangeToken token = call("GET");
+    core->handle(CallerGone { token }, Clock::now());
+    CHECK_EQUAL(1U, ports.cancelled.size());
+    CHECK_EQUAL(ports.attempts[0].attempt, ports.cancelled[0]);
+}
+
+TEST(Core, GivesUpAtTheDeadline)
+{
+    call("POST");
+    Clock::advance(std::chrono::seconds(11));
+    core->tick(Clock::now());
+    CHECK_EQUAL(504U, ports.responses[0].response.status);
+    STRCMP_EQUAL("unknown", headerOf(ports.responses[0].response, "X-Outcome").c_str());
+}
+
+TEST(Core, FinishesRequestsInFlightBeforeAShutdownEnds)
+{
+    call("GET");
+    core->handle(ShutdownRequested {}, Clock::now());
+    Clock::advance(std::chrono::seconds(2));
+    core->tick(Clock::now());
+    CHECK(ports.acceptingStopped);
+    CHECK(!ports.finished);
+    endAttempt(gateway::AttemptEnd::Answered, 200);
+    core->tick(Clock::now());
+    CHECK(ports.finished);
+}
--- a/packages/gateway/include/flamingowick/gateway/HttpServer.h
+++ b/packages/gateway/include/flamingowick/gateway/HttpServer.h
@@ -89,7 +89,7 @@
     // Returns the port that is listened on.
     std::uint16_t port() const noexcept;
 
-    // Returns how many requests wait for a response. Safe from any thread.
+    // Returns how many requests have no response that is wholly written yet. Safe from any thread.
     std::size_t outstanding() const noexcept;
 
 private:
--- a/packages/gateway/src/HttpServer.cpp
+++ b/packages/gateway/src/HttpServer.cpp
@@ -93,9 +93,11 @@
         return converted;
     }
 
-    void writeResponse(const restinio::request_handle_t& request, HttpResponse response, bool close)
+    // onWritten is called once the response is written or can no longer be.
+    void writeResponse(const restinio::request_handle_t& request, HttpResponse response, bool close, std::function<void()> onWritten = {})
     {
-        auto status = restinio::http_status_line_t(restinio::http_status_code_t(static_cast<std::uint16_t>(response.status)), "-");
+        auto code = static_cast<std::uint16_t>(response.status);
+        restinio::http_status_line_t status(restinio::http_status_code_t(code), http_status_str(static_cast<http_status>(code)));
         auto builder = request->create_response(std::move(status));
         for (Header& header : response.headers)
             builder.append_header(std::move(header.name), std::move(header.value));
@@ -104,7 +106,10 @@
         else
             builder.connection_keep_alive();
         builder.set_body(std::move(response.body));
-        builder.done();
+        builder.done([onWritten = std::move(onWritten)](const auto&) {
+            if (onWritten)
+                onWritten();
+        });
     }
 
 }
@@ -208,7 +213,7 @@
         this->byConnection.emplace(request->connection_id(), token);
         auto connection = request->connection_id();
         this->exchanges.emplace(token, Exchange { std::move(request), connection });
-        this->outstandingCount = this->exchanges.size();
+        ++this->outstandingCount;
         this->handlers.onRequest(std::move(converted));
         return restinio::request_accepted();
     }
@@ -220,7 +225,6 @@
         if (entry != last)
             this->byConnection.erase(entry);
         this->exchanges.erase(token);
-        this->outstandingCount = this->exchanges.size();
     }
 
     void connectionClosed(restinio::connection_id_t connection)
@@ -231,6 +235,7 @@
             tokens.push_back(entry->second);
         for (ExchangeToken token : tokens) {
             this->forget(token, connection);
+            --this->outstandingCount;
             this->handlers.onHangUp(token);
         }
     }
@@ -242,7 +247,7 @@
             return;
         auto request = std::move(exchange->second.request);
         this->forget(token, exchange->second.connection);
-        writeResponse(request, std::move(response), !this->accepting);
+        writeResponse(request, std::move(response), !this->accepting, [this] { --this->outstandingCount; });
     }
 };
 
--- a/packages/telemetry/include/flamingowick/telemetry/Log.h
+++ b/packages/telemetry/include/flamingowick/telemetry/Log.h
@@ -27,8 +27,9 @@
     Error,
 };
 
-// Sets the lowest level that is written. Lines go to standard error, each with wall-clock time,
-// level and prefix. To be called once, before other threads start.
+// Starts logging with the lowest level that is written. Lines go to standard output, each with
+// wall-clock time, level and prefix. Nothing is written before. To be called once, before other
+// threads start.
 void openLog(Level lowest);
 
 // Writes one line. Safe from any thread; never throws.
--- a/packages/telemetry/src/Log.cpp
+++ b/packages/telemetry/src/Log.cpp
@@ -6,12 +6,16 @@
 #include <easylogging++.cc> // NOLINT(bugprone-suspicious-include)
 #include <easylogging++.h>
 
+#include <atomic>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace flamingowick::telemetry {
 
 namespace {
 
+    std::atomic<bool> opened { false };
+
     void allow(el::Configurations& configurations, el::Level level, bool enabled)
     {
         configurations.set(level, el::ConfigurationType::Enabled, enabled ? "true" : "false");
@@ -30,6 +34,7 @@
     allow(configurations, el::Level::Info, lowest <= Level::Info);
     allow(configurations, el::Level::Warning, lowest <= Level::Warning);
     el::Loggers::reconfigureAllLoggers(configurations);
+    opened = true;
 }
 
 std::string_view prefix(Part part) noexcept
@@ -61,6 +66,8 @@
 
 void log(Part part, Level level, std::string_view message) noexcept
 {
+    if (!opened)
+        return;
     try {
         std::string line(prefix(part));
         line.append(message);
