--- /dev/null
+++ b/packages/keys/bench/CompareWays.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/packages/keys/include/flamingowick/keys/Messages.h
@@ -0,0 +1,237 @@
+#pragma once
+
+#include "flamingowick/keys/EntryTable.h"
+#include "flamingowick/keys/RangeRecord.h"
+#include "flamingowick/model/Clock.h"
+#include "flamingowick/model/Request.h"
+#include "flamingowick/model/ServiceDocument.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+// What the key machine is told and what it asks for.
+namespace flamingowick::keys {
+
+// A keyed request on its way from an entry VM to an owner.
+struct KeyedRequest {
+    Request request;
+    RangeId range;
+    // The ownership that the entry believes in.
+    std::uint64_t epoch { 0 };
+    DaemonId owner;
+    // A heartbeat time of the owner, in the owner's clock, that the entry had heard before it
+    // accepted the request. The owner overestimates the request's age by it.
+    std::optional<TimePoint> ownerStamp;
+    // The receiver's wall clock at arrival, in milliseconds since the Unix epoch; set on receipt.
+    std::int64_t wallMs { 0 };
+};
+
+// One entry as it moves between daemons; times are relative, since clocks differ.
+struct HandedEntry {
+    std::string key;
+    std::uint64_t digest { 0 };
+    std::string caller;
+    EntryState state { EntryState::Unknown };
+    RequestId runner;
+    std::optional<Answer> answer;
+    Duration remaining { 0 };
+};
+
+// All that a former owner knows of a range. It has stopped for good before it sends this.
+struct HandedRange {
+    RangeId id;
+    DaemonId from;
+    // The epoch in which the sender was owner.
+    std::uint64_t epochEnded { 0 };
+    std::vector<HandedEntry> entries;
+    std::vector<std::uint64_t> refusals;
+    bool refusalFloor { false };
+    // What is left of the sender's own wait after a takeover; 0 for none.
+    Duration waitRemaining { 0 };
+    std::int64_t freshAfterWallMs { 0 };
+    // Keys with an earlier time may have been forgotten by the sender.
+    std::int64_t oldestUsableMs { 0 };
+};
+
+// Events for the entry VM's side.
+
+// A caller's non-idempotent request with a key has come in.
+struct CallerRequest {
+    Request request;
+};
+struct CallerGone {
+    RequestId id;
+};
+// A daemon's heartbeat with its own clock's time.
+struct HeartbeatReceived {
+    DaemonId from;
+    TimePoint stamp;
+};
+// A peer's copy of a record: a hint where to send requests, nothing more.
+struct OwnerAnnounced {
+    RangeRecord record;
+};
+struct ForwardAnswered {
+    RequestId id;
+    Answer answer;
+};
+// An owner made no entry. record is set when the sender owns the range under another epoch.
+struct ForwardRefused {
+    RequestId id;
+    std::optional<RangeRecord> record;
+};
+// The transport could not hand a forwarded request to the peer.
+struct PeerUnreachable {
+    RequestId id;
+};
+
+// Events for the owner's side.
+
+// The dispatcher's word on a dispatched request. The outcome NotRun means that no target connection
+// has seen or will see it, cancellation confirmed.
+struct DispatchFinished {
+    RequestId id;
+    Answer answer;
+};
+struct CancelRequested {
+    RequestId id;
+};
+enum class ReadResult : std::uint8_t {
+    Found,
+    Absent,
+    Failed,
+};
+struct RecordRead {
+    RangeId id;
+    ReadResult result { ReadResult::Failed };
+    // Meaningful when found.
+    RangeRecord record;
+};
+enum class WriteResult : std::uint8_t {
+    Applied,
+    Conflict,
+    // No answer: the write may have been applied or may yet be.
+    UnknownOutcome,
+};
+struct RecordWritten {
+    RangeId id;
+    std::string changeId;
+    WriteResult result { WriteResult::UnknownOutcome };
+    // The new version, when applied.
+    std::string resourceVersion;
+};
+// This daemon is the placement's choice for the range.
+struct ClaimWanted {
+    RangeId id;
+};
+struct HandOverWanted {
+    RangeId id;
+    DaemonId successor;
+};
+struct EntriesReceived {
+    HandedRange handed;
+};
+struct EntriesAcknowledged {
+    RangeId id;
+    std::uint64_t epochEnded { 0 };
+};
+// A request that was in flight when its range was handed over has ended.
+struct HandedEntryFinished {
+    RangeId id;
+    std::uint64_t epochEnded { 0 };
+    std::string key;
+    RequestId runner;
+    Answer answer;
+};
+// The process of this incarnation, and of all before it on the VM, is gone for certain.
+struct DeathProven {
+    DaemonId daemon;
+};
+struct PolicyChanged {
+    std::string service;
+    KeyPolicy policy;
+};
+// Comes several times a second. wallMs is the wall clock in milliseconds since the Unix epoch.
+struct Tick {
+    std::int64_t wallMs { 0 };
+};
+// The daemon shuts down while ranges can't be handed over: their entries go to the keeper.
+struct Stopping {
+    DaemonId keeper;
+};
+
+using Event = std::variant<CallerRequest, CallerGone, HeartbeatReceived, OwnerAnnounced, ForwardAnswered,
+    ForwardRefused, PeerUnreachable, KeyedRequest, DispatchFinished, CancelRequested, RecordRead,
+    RecordWritten, ClaimWanted, HandOverWanted, EntriesReceived, EntriesAcknowledged, HandedEntryFinished,
+    DeathProven, PolicyChanged, Tick, Stopping>;
+
+// Actions of the entry VM's side.
+
+struct AnswerCaller {
+    RequestId id;
+    Answer answer;
+};
+struct Forward {
+    KeyedRequest message;
+};
+struct ForwardCancel {
+    DaemonId to;
+    RequestId id;
+};
+
+// Actions of the owner's side.
+
+// Hand the request to the dispatcher of its target group. Emitted once in the life of a key.
+struct Dispatch {
+    Request request;
+};
+struct CancelDispatch {
+    RequestId id;
+};
+// Send the answer to the entry VM that the request came from, id.origin.
+struct AnswerRequest {
+    RequestId id;
+    Answer answer;
+};
+struct RefuseRequest {
+    RequestId id;
+    std::optional<RangeRecord> record;
+};
+struct ReadRecord {
+    RangeId id;
+};
+// Write under the condition that the store's version is still expectedVersion; empty means that the
+// record must not exist.
+struct WriteRecord {
+    std::string expectedVersion;
+    RangeRecord record;
+};
+struct SendEntries {
+    DaemonId to;
+    HandedRange handed;
+};
+struct AcknowledgeEntries {
+    DaemonId to;
+    RangeId id;
+    std::uint64_t epochEnded { 0 };
+};
+struct SendEntryFinished {
+    DaemonId to;
+    HandedEntryFinished message;
+};
+struct Announce {
+    RangeRecord record;
+};
+// Tell the peers this daemon's own clock.
+struct SendHeartbeat {
+    TimePoint stamp;
+};
+
+using Action = std::variant<AnswerCaller, Forward, ForwardCancel, Dispatch, CancelDispatch, AnswerRequest,
+    RefuseRequest, ReadRecord, WriteRecord, SendEntries, AcknowledgeEntries, SendEntryFinished, Announce,
+    SendHeartbeat>;
+
+}
--- /dev/null
+++ b/packages/keys/src/EntrySide.cpp
@@ -0,0 +1,189 @@
+#include "flamingowick/keys/KeyParser.h"
+#include "flamingowick/keys/detail/Parts.h"
+
+#include <vector>
+
+namespace flamingowick::keys::detail {
+
+namespace {
+
+    constexpr unsigned statusUnavailable = 503;
+    // Sends of one request by the entry: the first, and one after a refusal that names another owner.
+    constexpr unsigned maxForwards = 2;
+
+    void answerWithoutOwner(Context& context, const RequestId& id, std::string_view reason)
+    {
+        State& state = context.state;
+        Outcome outcome = state.policy.outcomeWithoutOwner();
+        Answer answer = makeProblem(statusUnavailable, outcome, reason, retryAfter(3 * state.limits.stampSettle));
+        context.actions.emplace_back(AnswerCaller { id, std::move(answer) });
+        state.entry.attempts.erase(id);
+    }
+
+    // Returns the latest heartbeat time that had settled when the request was accepted.
+    std::optional<TimePoint> stampAt(const State& state, const DaemonId& owner, TimePoint acceptedAt)
+    {
+        auto found = state.entry.stamps.find(owner);
+        if (found == state.entry.stamps.end())
+            return std::nullopt;
+        const OwnerStamps& stamps = found->second;
+        Duration settle = state.limits.stampSettle;
+        if (stamps.newer && stamps.newerSince + settle <= acceptedAt)
+            return stamps.newer;
+        if (stamps.usable && stamps.usableSince + settle <= acceptedAt)
+            return stamps.usable;
+        return std::nullopt;
+    }
+
+    void forwardTo(Context& context, Attempt& attempt, const DaemonId& owner, std::uint64_t epoch)
+    {
+        std::optional<TimePoint> stamp = stampAt(context.state, owner, attempt.acceptedAt);
+        if (!stamp) {
+            answerWithoutOwner(context, attempt.request.id, "the owner of the key was not heard yet");
+            return;
+        }
+        attempt.forwardedTo = owner;
+        ++attempt.forwards;
+        context.actions.emplace_back(Forward { { attempt.request, attempt.range, epoch, owner, stamp, 0 } });
+    }
+
+    void lookUp(Context& context, const RangeId& id)
+    {
+        auto [lookup, added] = context.state.entry.lookups.try_emplace(id, context.now);
+        bool again = context.now - lookup->second >= context.state.limits.retryInterval;
+        if (!added && !again)
+            return;
+        lookup->second = context.now;
+        context.actions.emplace_back(ReadRecord { id });
+    }
+
+    std::vector<RequestId> waitingFor(const State& state, const RangeId& id)
+    {
+        std::vector<RequestId> waiting;
+        for (const auto& [requestId, attempt] : state.entry.attempts) {
+            if (attempt.forwards == 0 && attempt.range == id)
+                waiting.push_back(requestId);
+        }
+        return waiting;
+    }
+
+}
+
+void callerRequest(Context& context, const Request& request)
+{
+    EntrySide& entry = context.state.entry;
+    auto issued = parseIssuedKey(request.idempotencyKey);
+    RangeId range = rangeOf(request.service, request.idempotencyKey, context.state.limits.rangesPerService);
+    if (issued)
+        range.range = issuedRangeNumber;
+    auto [position, added] = entry.attempts.try_emplace(request.id, Attempt { request, range, context.now, {}, 0 });
+    if (!added)
+        return;
+    auto view = entry.views.find(range);
+    if (issued)
+        forwardTo(context, position->second, issued->issuer, 0);
+    else if (view != entry.views.end())
+        forwardTo(context, position->second, view->second.owner, view->second.epoch);
+    else
+        lookUp(context, range);
+}
+
+void callerGone(Context& context, const RequestId& id)
+{
+    auto& attempts = context.state.entry.attempts;
+    auto found = attempts.find(id);
+    if (found == attempts.end())
+        return;
+    if (found->second.forwards > 0)
+        context.actions.emplace_back(ForwardCancel { found->second.forwardedTo, id });
+    attempts.erase(found);
+}
+
+void heartbeatReceived(Context& context, const HeartbeatReceived& event)
+{
+    auto& known = context.state.entry.stamps;
+    if (!known.contains(event.from))
+        std::erase_if(known, [&](const auto& item) {
+            return item.first.vm == event.from.vm && item.first.incarnation < event.from.incarnation;
+        });
+    OwnerStamps& stamps = known[event.from];
+    stamps.heardAt = context.now;
+    bool settled = stamps.newer && stamps.newerSince + context.state.limits.stampSettle <= context.now;
+    if (settled) {
+        stamps.usable = stamps.newer;
+        stamps.usableSince = stamps.newerSince;
+    }
+    if ((settled && event.stamp > *stamps.newer) || !stamps.newer) {
+        stamps.newer = event.stamp;
+        stamps.newerSince = context.now;
+    }
+}
+
+void learnOwner(Context& context, const RangeRecord& record)
+{
+    EntrySide& entry = context.state.entry;
+    if (entry.views.size() >= context.state.limits.maxViews && !entry.views.contains(record.id))
+        entry.views.erase(entry.views.begin());
+    RangeRecord& view = entry.views[record.id];
+    if (record.epoch > view.epoch)
+        view = record;
+    entry.lookups.erase(record.id);
+    for (const RequestId& id : waitingFor(context.state, record.id))
+        forwardTo(context, entry.attempts.at(id), view.owner, view.epoch);
+}
+
+void noOwnerYet(Context& context, const RangeId& id)
+{
+    context.state.entry.lookups.erase(id);
+    for (const RequestId& waiting : waitingFor(context.state, id))
+        answerWithoutOwner(context, waiting, "the owner of the key is not known");
+}
+
+void forwardAnswered(Context& context, const ForwardAnswered& event)
+{
+    if (context.state.entry.attempts.erase(event.id) > 0)
+        context.actions.emplace_back(AnswerCaller { event.id, event.answer });
+}
+
+void forwardRefused(Context& context, const ForwardRefused& event)
+{
+    EntrySide& entry = context.state.entry;
+    if (event.record)
+        learnOwner(context, *event.record);
+    auto found = entry.attempts.find(event.id);
+    if (found == entry.attempts.end())
+        return;
+    Attempt& attempt = found->second;
+    auto view = entry.views.find(attempt.range);
+    bool elsewhere = view != entry.views.end() && view->second.owner != attempt.forwardedTo;
+    if (elsewhere && attempt.forwards < maxForwards) {
+        forwardTo(context, attempt, view->second.owner, view->second.epoch);
+        return;
+    }
+    if (attempt.range.range != issuedRangeNumber)
+        lookUp(context, attempt.range);
+    answerWithoutOwner(context, event.id, "the owner of the key has changed");
+}
+
+void peerUnreachable(Context& context, const RequestId& id)
+{
+    auto found = context.state.entry.attempts.find(id);
+    if (found == context.state.entry.attempts.end())
+        return;
+    if (found->second.range.range != issuedRangeNumber)
+        lookUp(context, found->second.range);
+    answerWithoutOwner(context, id, "the owner of the key can't be reached");
+}
+
+void expireAttempts(Context& context)
+{
+    std::vector<RequestId> late;
+    for (const auto& [id, attempt] : context.state.entry.attempts) {
+        if (attempt.request.deadline <= context.now)
+            late.push_back(id);
+    }
+    for (const RequestId& id : late)
+        answerWithoutOwner(context, id, "the owner of the key gave no answer in time");
+}
+
+}
--- /dev/null
+++ b/packages/keys/src/EntryTable.cpp
@@ -0,0 +1,176 @@
+#include "flamingowick/keys/EntryTable.h"
+
+#include "flamingowick/model/Invariant.h"
+#include "flamingowick/model/StableHash.h"
+
+#include <algorithm>
+
+namespace flamingowick::keys {
+
+namespace {
+
+    // What the containers and fixed parts of an entry take, in bytes.
+    constexpr std::size_t entryOverheadBytes = 768;
+
+    std::size_t answerBytes(const Answer& answer) noexcept
+    {
+        std::size_t bytes = sizeof(Answer) + answer.body.size() + answer.reason.size() + answer.target.size();
+        for (const Header& header : answer.headers)
+            bytes += sizeof(Header) + header.name.size() + header.value.size();
+        return bytes;
+    }
+
+    std::size_t textBytes(std::string_view key, std::string_view caller) noexcept
+    {
+        return entryOverheadBytes + 3 * key.size() + caller.size();
+    }
+
+    std::size_t entryBytes(const KeyEntry& entry) noexcept
+    {
+        return textBytes(entry.key, entry.caller) + (entry.answer ? answerBytes(*entry.answer) : 0);
+    }
+
+}
+
+KeyEntry* findEntry(EntryTable& table, const RangeId& range, const std::string& key)
+{
+    auto entries = table.ranges.find(range);
+    if (entries == table.ranges.end())
+        return nullptr;
+    auto entry = entries->second.entries.find(key);
+    return entry == entries->second.entries.end() ? nullptr : &entry->second;
+}
+
+KeyEntry* findRunner(EntryTable& table, const RequestId& id, RangeId& range)
+{
+    auto runner = table.runners.find(id);
+    if (runner == table.runners.end())
+        return nullptr;
+    range = runner->second.first;
+    return findEntry(table, range, runner->second.second);
+}
+
+bool hasRoom(const EntryTable& table, const EntryLimits& limits, const Request& request) noexcept
+{
+    std::size_t bytes = table.byteCount + textBytes(request.idempotencyKey, request.caller);
+    return table.entryCount < limits.maxEntries && bytes <= limits.maxBytes;
+}
+
+KeyEntry& addEntry(EntryTable& table, const RangeId& range, KeyEntry entry)
+{
+    RangeEntries& entries = table.ranges[range];
+    std::string key = entry.key;
+    auto [position, added] = entries.entries.try_emplace(key, std::move(entry));
+    checkInvariant(added, Invariant::AtMostOnce, "a key got a second entry");
+    table.expiries.insert({ position->second.expiresAt, { range, key } });
+    ++table.entryCount;
+    table.byteCount += entryBytes(position->second);
+    return position->second;
+}
+
+void setExpiry(EntryTable& table, const RangeId& range, KeyEntry& entry, TimePoint expiresAt)
+{
+    table.expiries.erase({ entry.expiresAt, { range, entry.key } });
+    entry.expiresAt = expiresAt;
+    table.expiries.insert({ expiresAt, { range, entry.key } });
+}
+
+void keepAnswer(EntryTable& table, const EntryLimits& limits, KeyEntry& entry, const Answer& answer)
+{
+    std::size_t bytes = answerBytes(answer);
+    if (table.byteCount + bytes > limits.maxBytes)
+        return;
+    entry.answer = answer;
+    table.byteCount += bytes;
+}
+
+void eraseEntry(EntryTable& table, const RangeId& range, const std::string& key)
+{
+    KeyEntry* entry = findEntry(table, range, key);
+    if (entry == nullptr)
+        return;
+    table.byteCount -= entryBytes(*entry);
+    --table.entryCount;
+    table.expiries.erase({ entry->expiresAt, { range, key } });
+    table.runners.erase(entry->runner);
+    table.ranges[range].entries.erase(key);
+}
+
+void eraseRange(EntryTable& table, const RangeId& range)
+{
+    auto entries = table.ranges.find(range);
+    if (entries == table.ranges.end())
+        return;
+    std::vector<std::string> keys;
+    for (const auto& entry : entries->second.entries)
+        keys.push_back(entry.first);
+    for (const std::string& key : keys)
+        eraseEntry(table, range, key);
+    table.refusalCount -= entries->second.refusals.size();
+    table.ranges.erase(range);
+}
+
+std::vector<std::pair<RangeId, std::string>> dueEntries(const EntryTable& table, TimePoint now)
+{
+    std::vector<std::pair<RangeId, std::string>> due;
+    for (const auto& expiry : table.expiries) {
+        if (expiry.first > now)
+            break;
+        due.push_back(expiry.second);
+    }
+    return due;
+}
+
+bool hasRunners(const EntryTable& table, const RangeId& range)
+{
+    auto inRange = [&](const auto& runner) { return runner.second.first == range; };
+    return std::any_of(table.runners.begin(), table.runners.end(), inRange);
+}
+
+void forgetRunner(EntryTable& table, const RequestId& id)
+{
+    table.runners.erase(id);
+}
+
+void rememberRefusal(EntryTable& table, const EntryLimits& limits, const RangeId& range, std::string_view key, TimePoint now)
+{
+    RangeEntries& entries = table.ranges[range];
+    std::uint64_t hash = stableHash(key);
+    auto known = entries.refusals.find(hash);
+    if (known != entries.refusals.end()) {
+        known->second = now;
+        return;
+    }
+    if (table.refusalCount >= limits.maxRefusals) {
+        entries.refusalFloor = now;
+        return;
+    }
+    entries.refusals.emplace(hash, now);
+    ++table.refusalCount;
+}
+
+RefusalMatch matchRefusal(const EntryTable& table, const RangeId& range, std::string_view key, TimePoint stamp) noexcept
+{
+    auto entries = table.ranges.find(range);
+    if (entries == table.ranges.end())
+        return RefusalMatch::None;
+    auto refusal = entries->second.refusals.find(stableHash(key));
+    if (refusal != entries->second.refusals.end() && stamp <= refusal->second)
+        return RefusalMatch::SameKey;
+    if (entries->second.refusalFloor && stamp <= *entries->second.refusalFloor)
+        return RefusalMatch::AnyKey;
+    return RefusalMatch::None;
+}
+
+void expireRefusals(EntryTable& table, TimePoint now, Duration limit)
+{
+    for (auto& entries : table.ranges) {
+        auto& refusals = entries.second.refusals;
+        table.refusalCount -= std::erase_if(refusals, [&](const auto& refusal) { return now - refusal.second > limit; });
+        auto& floor = entries.second.refusalFloor;
+        if (floor && now - *floor > limit)
+            floor.reset();
+    }
+}
+
+}
--- /dev/null
+++ b/packages/keys/src/Evidence.cpp
@@ -0,0 +1,87 @@
+#include "flamingowick/keys/detail/Parts.h"
+
+#include <algorithm>
+
+namespace flamingowick::keys {
+
+Duration retentionOf(const State& state, const std::string& service)
+{
+    auto policy = state.policies.find(service);
+    Duration stated = policy == state.policies.end() ? KeyPolicy().retention : policy->second.retention;
+    return std::max(stated, 2 * state.limits.longestFlight);
+}
+
+namespace detail {
+
+    void observeWall(Context& context, std::int64_t wallMs)
+    {
+        WallClock& wall = context.state.wall;
+        std::int64_t expected = wallNow(context.state, context.now);
+        Duration ahead = std::chrono::milliseconds(wallMs - expected);
+        if (wall.known && ahead > context.state.limits.suspendLimit)
+            context.state.stampFloor = context.now;
+        wall.wallMs = wall.known ? std::max(expected, wallMs) : wallMs;
+        wall.at = context.now;
+        wall.known = true;
+    }
+
+    std::int64_t wallNow(const State& state, TimePoint now) noexcept
+    {
+        Duration passed = std::max(now - state.wall.at, Duration(0));
+        return state.wall.wallMs + std::chrono::duration_cast<std::chrono::milliseconds>(passed).count();
+    }
+
+    bool isProvenDead(const State& state, const DaemonId& daemon)
+    {
+        if (daemon.vm == state.self.vm && daemon.incarnation < state.self.incarnation)
+            return true;
+        auto proven = state.provenDead.find(daemon.vm);
+        return proven != state.provenDead.end() && daemon.incarnation <= proven->second;
+    }
+
+    OwnerEvidence evidenceOf(const State& state, const DaemonId& owner, TimePoint now)
+    {
+        OwnerEvidence evidence;
+        evidence.provenDead = isProvenDead(state, owner);
+        auto stamps = state.entry.stamps.find(owner);
+        if (stamps != state.entry.stamps.end())
+            evidence.silence = now - stamps->second.heardAt;
+        return evidence;
+    }
+
+    Duration clockBoundOf(const State& state, const std::string& service)
+    {
+        auto policy = state.policies.find(service);
+        return policy == state.policies.end() ? KeyPolicy().clockBound : policy->second.clockBound;
+    }
+
+    std::int64_t oldestKeptMs(const State& state, const std::string& service, TimePoint now)
+    {
+        Duration limit = retentionOf(state, service) - clockBoundOf(state, service);
+        return wallNow(state, now) - std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
+    }
+
+    void changePolicy(Context& context, const PolicyChanged& event)
+    {
+        State& state = context.state;
+        std::int64_t kept = oldestKeptMs(state, event.service, context.now);
+        for (auto& [id, holding] : state.holdings) {
+            if (id.service == event.service)
+                holding.oldestUsableMs = std::max(holding.oldestUsableMs, kept);
+        }
+        bool first = !state.policies.contains(event.service);
+        Duration before = retentionOf(state, event.service);
+        state.policies[event.service] = event.policy;
+        Duration after = retentionOf(state, event.service);
+        auto [shortest, added] = state.shortestRetention.try_emplace(event.service, first ? after : before);
+        shortest->second = std::min(shortest->second, after);
+    }
+
+    std::chrono::seconds retryAfter(Duration duration) noexcept
+    {
+        return std::max(std::chrono::ceil<std::chrono::seconds>(duration), std::chrono::seconds(1));
+    }
+
+}
+
+}
--- /dev/null
+++ b/packages/keys/src/Ownership.cpp
@@ -0,0 +1,203 @@
+#include "flamingowick/keys/detail/Parts.h"
+#include "flamingowick/model/Invariant.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace flamingowick::keys::detail {
+
+namespace {
+
+    void askStore(Context& context, const RangeId& id, Holding& holding)
+    {
+        holding.retryAt = context.now + context.state.limits.retryInterval;
+        context.actions.emplace_back(ReadRecord { id });
+    }
+
+    void startReading(Context& context, const RangeId& id, Holding& holding)
+    {
+        holding.status = HoldingStatus::Reading;
+        askStore(context, id, holding);
+    }
+
+    // Writes this daemon into the record that follows current; null when there is none yet.
+    void propose(Context& context, const RangeId& id, Holding& holding, const RangeRecord* current)
+    {
+        State& state = context.state;
+        ++state.changeCounter;
+        RangeRecord proposed;
+        proposed.id = id;
+        proposed.owner = state.self;
+        proposed.previous = current != nullptr ? current->owner : DaemonId();
+        proposed.epoch = current != nullptr ? current->epoch + 1 : 1;
+        proposed.changeId = toString(state.self) + "/" + std::to_string(state.changeCounter);
+        holding.expectedVersion = current != nullptr ? current->resourceVersion : std::string();
+        holding.proposed = std::move(proposed);
+        holding.status = HoldingStatus::Writing;
+        holding.retryAt = context.now + state.limits.retryInterval;
+        context.actions.emplace_back(WriteRecord { holding.expectedVersion, holding.proposed });
+    }
+
+    void acceptRecord(Context& context, Holding& holding, const RangeRecord& record)
+    {
+        holding.record = record;
+        holding.status = HoldingStatus::AwaitingEntries;
+        trySucceed(context, holding);
+    }
+
+    // Decides what a record read from the store means for a range that this daemon wants.
+    void considerRecord(Context& context, Holding& holding, const RangeRecord& record)
+    {
+        const State& state = context.state;
+        bool stale = record.epoch <= holding.epochFloor;
+        bool ours = record.owner == state.self;
+        if (ours && !stale) {
+            acceptRecord(context, holding, record);
+            return;
+        }
+        bool takeable = !ours && !stale && state.policy.mayTakeOver(record, evidenceOf(state, record.owner, context.now));
+        if (takeable)
+            propose(context, record.id, holding, &record);
+        else
+            holding.status = HoldingStatus::Idle;
+    }
+
+    // A record of a later epoch that names another daemon while this one acts breaks the promise.
+    void checkStillOwner(const State& state, const Holding& holding, const RangeRecord& record)
+    {
+        bool replaced = record.epoch > holding.record.epoch && record.owner != state.self;
+        checkInvariant(!replaced, Invariant::SingleOwner, "another daemon took a range that this one holds");
+    }
+
+    SuccessionEvidence successionOf(const State& state, const Holding& holding)
+    {
+        const RangeRecord& record = holding.record;
+        SuccessionEvidence evidence;
+        evidence.firstOwner = record.previous.vm.empty();
+        evidence.entriesHere = holding.received && holding.received->from == record.previous
+            && holding.received->epochEnded + 1 == record.epoch;
+        evidence.previousDead = !evidence.firstOwner && isProvenDead(state, record.previous);
+        return evidence;
+    }
+
+    void startWait(Context& context, Holding& holding)
+    {
+        State& state = context.state;
+        holding.unknownUntil = context.now + retentionOf(state, holding.record.id.service);
+        holding.freshAfterWallMs = state.wall.known ? wallNow(state, context.now) : std::numeric_limits<std::int64_t>::max();
+    }
+
+}
+
+void claim(Context& context, const RangeId& id)
+{
+    Holding& holding = context.state.holdings[id];
+    if (holding.status == HoldingStatus::Idle && !context.state.stopping)
+        startReading(context, id, holding);
+}
+
+void recordRead(Context& context, const RecordRead& event)
+{
+    auto found = context.state.holdings.find(event.id);
+    if (found == context.state.holdings.end() || event.result == ReadResult::Failed)
+        return;
+    Holding& holding = found->second;
+    bool absent = event.result == ReadResult::Absent;
+    if (holding.status == HoldingStatus::Active && !absent)
+        checkStillOwner(context.state, holding, event.record);
+    else if (holding.status == HoldingStatus::HandingOver && !absent)
+        settleHandOver(context, holding, event.record);
+    else if (holding.status == HoldingStatus::Reading && !absent)
+        considerRecord(context, holding, event.record);
+    else if (holding.status == HoldingStatus::Reading && holding.epochFloor == 0)
+        propose(context, event.id, holding, nullptr);
+}
+
+void recordWritten(Context& context, const RecordWritten& event)
+{
+    auto found = context.state.holdings.find(event.id);
+    if (found == context.state.holdings.end() || found->second.proposed.changeId != event.changeId)
+        return;
+    Holding& holding = found->second;
+    bool applied = event.result == WriteResult::Applied;
+    RangeRecord written = holding.proposed;
+    written.resourceVersion = event.resourceVersion;
+    if (holding.status == HoldingStatus::Writing && applied)
+        acceptRecord(context, holding, written);
+    else if (holding.status == HoldingStatus::Writing)
+        startReading(context, event.id, holding);
+    else if (holding.status == HoldingStatus::HandingOver && applied)
+        settleHandOver(context, holding, written);
+    else if (holding.status == HoldingStatus::HandingOver)
+        askStore(context, event.id, holding);
+}
+
+void peerCopy(Context& context, const RangeRecord& record)
+{
+    State& state = context.state;
+    if (state.policy.mayActOnPeerCopy(state.self, record)) {
+        Holding& holding = state.holdings[record.id];
+        holding.record = record;
+        holding.status = HoldingStatus::Active;
+        startWait(context, holding);
+        return;
+    }
+    if (record.owner != state.self)
+        return;
+    Holding& holding = state.holdings[record.id];
+    if (holding.status == HoldingStatus::Idle && record.epoch > holding.epochFloor)
+        startReading(context, record.id, holding);
+}
+
+void trySucceed(Context& context, Holding& holding)
+{
+    State& state = context.state;
+    SuccessionEvidence evidence = successionOf(state, holding);
+    Succession succession = state.policy.decideSuccession(evidence);
+    if (succession == Succession::Hold)
+        return;
+    bool ours = holding.record.owner == state.self && holding.record.epoch > holding.epochFloor;
+    checkInvariant(ours, Invariant::SingleOwner, "a daemon was to act on a record that does not name it");
+    holding.status = HoldingStatus::Active;
+    holding.unknownUntil.reset();
+    eraseRange(state.table, holding.record.id);
+    if (evidence.entriesHere)
+        installEntries(context, holding);
+    else if (succession == Succession::ActAfterWait)
+        startWait(context, holding);
+    learnOwner(context, holding.record);
+    context.actions.emplace_back(Announce { holding.record });
+}
+
+void deathProven(Context& context, const DaemonId& daemon)
+{
+    State& state = context.state;
+    Incarnation& proven = state.provenDead[daemon.vm];
+    proven = std::max(proven, daemon.incarnation);
+    for (auto& [id, holding] : state.holdings) {
+        if (holding.status == HoldingStatus::AwaitingEntries)
+            trySucceed(context, holding);
+    }
+}
+
+void retryOwnership(Context& context)
+{
+    for (auto& [id, holding] : context.state.holdings) {
+        if (holding.unknownUntil && *holding.unknownUntil <= context.now)
+            holding.unknownUntil.reset();
+        if (holding.received && context.now - holding.receivedAt > retentionOf(context.state, id.service))
+            holding.received.reset();
+        if (holding.status == HoldingStatus::HandingOver || holding.status == HoldingStatus::HandedOver)
+            continueHandOver(context, id, holding);
+        else if (holding.status == HoldingStatus::Reading && holding.retryAt <= context.now)
+            askStore(context, id, holding);
+        else if (holding.status == HoldingStatus::Writing && holding.retryAt <= context.now)
+            startReading(context, id, holding);
+    }
+    std::erase_if(context.state.holdings, [](const auto& item) {
+        const Holding& holding = item.second;
+        return holding.status == HoldingStatus::Idle && holding.epochFloor == 0 && !holding.received;
+    });
+}
+
+}
--- /dev/null
+++ b/packages/keys/tests/World.cpp
@@ -0,0 +1,422 @@
+#include "World.h"
+
+#include "flamingowick/keys/Placement.h"
+#include "flamingowick/model/Error.h"
+
+#include <algorithm>
+
+namespace flamingowick::keys::test {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr std::size_t nodeCount = 4;
+    constexpr std::uint32_t rangeCount = 2;
+    constexpr milliseconds scheduleLength { 45000 };
+    constexpr milliseconds tickInterval { 500 };
+    constexpr milliseconds longestFlight { 4000 };
+    constexpr milliseconds retention { 12000 };
+    constexpr milliseconds clockBound { 400 };
+    constexpr std::int64_t wallEpochMs = 1764720000000;
+
+    std::uint64_t below(World& world, std::uint64_t bound) { return world.random() % bound; }
+    bool chance(World& world, unsigned percent) { return below(world, 100) < percent; }
+    milliseconds between(World& world, std::int64_t low, std::int64_t high)
+    {
+        return milliseconds(low + static_cast<std::int64_t>(below(world, static_cast<std::uint64_t>(high - low + 1))));
+    }
+
+    std::int64_t trueWallMs(const World& world)
+    {
+        return wallEpochMs + std::chrono::duration_cast<milliseconds>(world.now.time_since_epoch()).count();
+    }
+    std::int64_t skew(World& world) { return between(world, -clockBound.count() / 2, clockBound.count() / 2).count(); }
+    TimePoint localNow(const World& world, const Node& node) { return world.now + node.clockOffset; }
+    void later(World& world, Duration delay, std::function<void()> work) { world.agenda.emplace(world.now + delay, std::move(work)); }
+
+    void violation(World& world, std::string text) { world.ledger.violations.push_back(std::move(text)); }
+
+    // The ledger's check: a key runs once, and not-run holds for all attempts up to the telling.
+    void noteRun(World& world, const Request& request)
+    {
+        Ledger& ledger = world.ledger;
+        auto& runs = ledger.runs[request.idempotencyKey];
+        runs.emplace_back(world.now, request.id);
+        if (runs.size() > 1)
+            violation(world, "key ran twice: " + request.idempotencyKey);
+        for (TimePoint told : ledger.notRunTold[request.idempotencyKey]) {
+            if (ledger.attempts.at(request.id).at < told)
+                violation(world, "key ran after not-run: " + request.idempotencyKey);
+        }
+    }
+
+    void noteTold(World& world, const RequestId& id, const Answer& answer)
+    {
+        Ledger& ledger = world.ledger;
+        const std::string& key = ledger.attempts.at(id).key;
+        if (answer.outcome == Outcome::Answered && answer.body != key)
+            violation(world, "answer of another key: " + key);
+        ledger.told.answered += answer.outcome == Outcome::Answered ? 1 : 0;
+        ledger.told.unknown += answer.outcome == Outcome::Unknown ? 1 : 0;
+        if (answer.outcome != Outcome::NotRun)
+            return;
+        ++ledger.told.notRun;
+        ledger.notRunTold[key].push_back(world.now);
+        if (ledger.runs.contains(key))
+            violation(world, "not-run told of a key that ran: " + key);
+    }
+
+    void deliver(World& world, std::size_t to, const Event& event);
+    void perform(World& world, std::size_t from, const Action& action);
+
+    std::size_t nodeOf(const DaemonId& daemon) { return static_cast<std::size_t>(daemon.vm.back() - '0'); }
+
+    // Sends a message between daemons: lost, delayed, reordered, doubled, or cut off one way.
+    void send(World& world, std::size_t from, const DaemonId& to, const Event& event)
+    {
+        std::size_t target = nodeOf(to);
+        auto cut = world.cuts.find({ from, target });
+        bool cutOff = from != target && cut != world.cuts.end() && cut->second > world.now;
+        if (cutOff || chance(world, 2))
+            return;
+        int copies = chance(world, 4) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            Duration delay = chance(world, 5) ? between(world, 100, 9000) : between(world, 1, 20);
+            later(world, delay, [&world, target, event] { deliver(world, target, event); });
+        }
+    }
+
+    void broadcast(World& world, std::size_t from, const Event& event)
+    {
+        for (std::size_t to = 0; to < nodeCount; ++to) {
+            if (to != from)
+                send(world, from, world.nodes[to].state.self, event);
+        }
+    }
+
+    void reply(World& world, const DaemonId& to, const Event& event)
+    {
+        if (world.nodes[nodeOf(to)].state.self == to)
+            deliver(world, nodeOf(to), event);
+    }
+
+    // The dispatcher and the target: may shed, run and lose the answer, or never get the request.
+    void target(World& world, const DaemonId& owner, const Request& request)
+    {
+        Answer answer;
+        answer.status = 200;
+        answer.body = request.idempotencyKey;
+        if (chance(world, 10) || world.cancelled.contains(request.id)) {
+            answer = makeProblem(503, Outcome::NotRun, "shed", std::chrono::seconds(1));
+        } else {
+            noteRun(world, request);
+            if (chance(world, 5))
+                answer = makeProblem(502, Outcome::Unknown, "connection lost", std::chrono::seconds(1));
+        }
+        if (chance(world, 90))
+            later(world, between(world, 1, 1500), [&world, owner, id = request.id, answer] { reply(world, owner, DispatchFinished { id, answer }); });
+    }
+
+    void readStore(World& world, const DaemonId& from, const RangeId& id)
+    {
+        RecordRead event { id, ReadResult::Failed, {} };
+        auto records = world.store.history.find(id);
+        if (world.store.downUntil <= world.now) {
+            event.result = records == world.store.history.end() ? ReadResult::Absent : ReadResult::Found;
+            if (event.result == ReadResult::Found)
+                event.record = chance(world, 15) ? records->second[below(world, records->second.size())] : records->second.back();
+        }
+        later(world, between(world, 1, 30), [&world, from, event] { reply(world, from, event); });
+    }
+
+    bool applyWrite(World& world, const WriteRecord& write)
+    {
+        auto& records = world.store.history[write.record.id];
+        std::string version = records.empty() ? "" : records.back().resourceVersion;
+        if (version != write.expectedVersion)
+            return false;
+        world.ledger.takeovers += write.record.previous.vm.empty() || write.record.changeId.starts_with(toString(write.record.previous) + "/") ? 0 : 1;
+        records.push_back(write.record);
+        records.back().resourceVersion = std::to_string(records.size());
+        return true;
+    }
+
+    // A write may be refused by an outage, be applied with its answer lost, or be applied much later.
+    void writeStore(World& world, const DaemonId& from, const WriteRecord& write)
+    {
+        bool down = world.store.downUntil > world.now;
+        bool answerLost = down || chance(world, 15);
+        Duration delay = answerLost && chance(world, 30) ? between(world, 100, 8000) : between(world, 1, 30);
+        bool dropped = answerLost && chance(world, 30);
+        later(world, delay, [&world, from, write, answerLost, dropped] {
+            bool applied = !dropped && applyWrite(world, write);
+            std::string version = applied ? world.store.history[write.record.id].back().resourceVersion : "";
+            if (!answerLost)
+                reply(world, from, RecordWritten { write.record.id, write.record.changeId, applied ? WriteResult::Applied : WriteResult::Conflict, version });
+        });
+        if (answerLost)
+            later(world, between(world, 30, 300), [&world, from, write] { reply(world, from, RecordWritten { write.record.id, write.record.changeId, WriteResult::UnknownOutcome, {} }); });
+    }
+
+    struct Performer {
+        World& world;
+        std::size_t from;
+        DaemonId self;
+
+        void operator()(const AnswerCaller& action) const { noteTold(this->world, action.id, action.answer); }
+        void operator()(const Forward& action) const
+        {
+            // The time left travels, not the deadline: a message that waited looks fresh.
+            KeyedRequest message = action.message;
+            Node& receiver = this->world.nodes[nodeOf(message.owner)];
+            message.request.deadline += receiver.clockOffset - this->world.nodes[this->from].clockOffset;
+            if (!receiver.alive && chance(this->world, 50)) {
+                deliver(this->world, this->from, PeerUnreachable { message.request.id });
+                return;
+            }
+            send(this->world, this->from, message.owner, message);
+        }
+        void operator()(const ForwardCancel& action) const { send(this->world, this->from, action.to, CancelRequested { action.id }); }
+        void operator()(const Dispatch& action) const
+        {
+            if (!chance(this->world, 3))
+                later(this->world, between(this->world, 1, chance(this->world, 10) ? 2400 : 50), [&world = this->world, owner = this->self, request = action.request] { target(world, owner, request); });
+        }
+        void operator()(const CancelDispatch& action) const { this->world.cancelled.insert(action.id); }
+        void operator()(const AnswerRequest& action) const { send(this->world, this->from, action.id.origin, ForwardAnswered { action.id, action.answer }); }
+        void operator()(const RefuseRequest& action) const { send(this->world, this->from, action.id.origin, ForwardRefused { action.id, action.record }); }
+        void operator()(const ReadRecord& action) const { readStore(this->world, this->self, action.id); }
+        void operator()(const WriteRecord& action) const { writeStore(this->world, this->self, action); }
+        void operator()(const SendEntries& action) const { send(this->world, this->from, action.to, EntriesReceived { action.handed }); }
+        void operator()(const AcknowledgeEntries& action) const
+        {
+            ++this->world.ledger.handOvers;
+            send(this->world, this->from, action.to, EntriesAcknowledged { action.id, action.epochEnded });
+        }
+        void operator()(const SendEntryFinished& action) const { send(this->world, this->from, action.to, action.message); }
+        void operator()(const Announce& action) const { broadcast(this->world, this->from, OwnerAnnounced { action.record }); }
+        void operator()(const SendHeartbeat& action) const { broadcast(this->world, this->from, HeartbeatReceived { this->self, action.stamp }); }
+    };
+
+    void perform(World& world, std::size_t from, const Action& action)
+    {
+        std::visit(Performer { world, from, world.nodes[from].state.self }, action);
+    }
+
+    void kill(World& world, std::size_t index);
+
+    void process(World& world, std::size_t index, Event event)
+    {
+        Node& node = world.nodes[index];
+        if (auto* message = std::get_if<KeyedRequest>(&event))
+            message->wallMs = trueWallMs(world) + node.wallSkewMs;
+        std::vector<Action> actions;
+        try {
+            actions = handle(node.state, event, localNow(world, node));
+        } catch (const InvariantViolation& broken) {
+            violation(world, broken.what());
+            kill(world, index);
+            return;
+        }
+        // A pause may come between a decision and its effects.
+        if (chance(world, 1) && chance(world, 15)) {
+            node.pausedUntil = world.now + between(world, 500, 25000);
+            node.held = std::move(actions);
+            return;
+        }
+        for (const Action& action : actions)
+            perform(world, index, action);
+    }
+
+    void wake(World& world, std::size_t index)
+    {
+        Node& node = world.nodes[index];
+        std::vector<Action> held = std::move(node.held);
+        std::vector<Event> inbox = std::move(node.inbox);
+        node.held.clear();
+        node.inbox.clear();
+        for (const Action& action : held)
+            perform(world, index, action);
+        for (const Event& event : inbox)
+            deliver(world, index, event);
+    }
+
+    void deliver(World& world, std::size_t to, const Event& event)
+    {
+        Node& node = world.nodes[to];
+        if (!node.alive)
+            return;
+        if (node.pausedUntil > world.now)
+            node.inbox.push_back(event);
+        else
+            process(world, to, event);
+    }
+
+    void start(World& world, std::size_t index)
+    {
+        Node& node = world.nodes[index];
+        node = Node();
+        node.clockOffset = between(world, 0, 90000000);
+        node.wallSkewMs = skew(world);
+        State& state = node.state;
+        state.self = { "vm" + std::to_string(index), static_cast<Incarnation>(trueWallMs(world)) };
+        state.limits.rangesPerService = rangeCount;
+        state.limits.longestFlight = longestFlight;
+        state.limits.stampSettle = world.scenario.stampSettle;
+        state.limits.retryInterval = milliseconds(500);
+        if (world.scenario.seed % 3 == 0)
+            state.limits.entries = { 8, 1U << 20U, 2 };
+        state.policy = world.scenario.policy;
+        state.issued.secret = world.random();
+        deliver(world, index, PolicyChanged { "pay", { retention, clockBound } });
+        deliver(world, index, Tick { trueWallMs(world) + node.wallSkewMs });
+    }
+
+    void kill(World& world, std::size_t index)
+    {
+        Node& node = world.nodes[index];
+        node.alive = false;
+        node.inbox.clear();
+        node.held.clear();
+        DaemonId dead = node.state.self;
+        for (std::size_t peer = 0; peer < nodeCount; ++peer)
+            later(world, between(world, 200, 6000), [&world, peer, dead] { deliver(world, peer, DeathProven { dead }); });
+        later(world, between(world, 100, 8000), [&world, index] { start(world, index); });
+    }
+
+    void tick(World& world, std::size_t index)
+    {
+        Node& node = world.nodes[index];
+        if (node.alive && node.pausedUntil <= world.now) {
+            if (!node.inbox.empty() || !node.held.empty())
+                wake(world, index);
+            process(world, index, Tick { trueWallMs(world) + node.wallSkewMs });
+        }
+        later(world, tickInterval, [&world, index] { tick(world, index); });
+    }
+
+    std::string makeUuidV7(World& world)
+    {
+        std::int64_t keyMs = trueWallMs(world) + skew(world);
+        std::array<char, 40> text {};
+        std::snprintf(text.data(), text.size(), "%08llx-%04llx-7%03llx-8%03llx-%012llx", static_cast<unsigned long long>(keyMs >> 16),
+            static_cast<unsigned long long>(keyMs & 0xffff), static_cast<unsigned long long>(below(world, 0x1000)),
+            static_cast<unsigned long long>(below(world, 0x1000)), static_cast<unsigned long long>(below(world, 1ULL << 48U)));
+        return text.data();
+    }
+
+    Key& chooseKey(World& world)
+    {
+        bool fresh = world.keys.empty() || chance(world, 35);
+        if (!fresh)
+            return world.keys[world.keys.size() - 1 - below(world, std::min<std::size_t>(world.keys.size(), 12))];
+        unsigned kind = static_cast<unsigned>(below(world, 10));
+        Node& issuer = world.nodes[below(world, nodeCount)];
+        Key key { "opaque" + std::to_string(world.keys.size()), world.now, kind < 4 };
+        if (kind >= 6 || (kind >= 4 && !issuer.alive))
+            key = { makeUuidV7(world), world.now, false };
+        else if (kind >= 4)
+            key = { issueKey(issuer.state.issued, issuer.state.self, localNow(world, issuer)), world.now, false };
+        world.keys.push_back(key);
+        return world.keys.back();
+    }
+
+    void callerSends(World& world)
+    {
+        Key& key = chooseKey(world);
+        Node& entry = world.nodes[below(world, nodeCount)];
+        bool keptPromise = !key.opaque || world.now - key.firstAt < retention - longestFlight - milliseconds(500);
+        if (entry.alive && keptPromise) {
+            Request request;
+            request.id = { entry.state.self, entry.nextCounter++ };
+            request.service = "pay";
+            request.idempotencyKey = key.text;
+            request.caller = "member";
+            request.idempotent = false;
+            request.deadline = localNow(world, entry) + between(world, 500, 3500);
+            world.ledger.attempts[request.id] = { key.text, world.now };
+            // What a caller sends may wait a moment in the entry's socket.
+            later(world, between(world, 0, 250), [&world, request] { reply(world, request.id.origin, CallerRequest { request }); });
+            if (chance(world, 10))
+                later(world, between(world, 300, 1000), [&world, id = request.id] { reply(world, id.origin, CallerGone { id }); });
+        }
+        later(world, between(world, 1, 500), [&world] { callerSends(world); });
+    }
+
+    void claimRanges(World& world)
+    {
+        std::vector<std::string> live;
+        for (const Node& node : world.nodes) {
+            if (node.alive || chance(world, 30))
+                live.push_back(node.state.self.vm);
+        }
+        std::vector<std::string> services { "pay" };
+        for (std::size_t index = 0; index < nodeCount; ++index) {
+            for (const RangeId& id : rangesToClaim(services, live, world.nodes[index].state.self.vm, rangeCount))
+                deliver(world, index, ClaimWanted { id });
+            if (chance(world, 10))
+                deliver(world, index, ClaimWanted { { "pay", static_cast<std::uint32_t>(below(world, rangeCount)) } });
+        }
+        later(world, milliseconds(700), [&world] { claimRanges(world); });
+    }
+
+    void fault(World& world)
+    {
+        std::size_t index = below(world, nodeCount);
+        Node& node = world.nodes[index];
+        DaemonId other = world.nodes[below(world, nodeCount)].state.self;
+        switch (below(world, 7)) {
+        case 0:
+            world.store.downUntil = world.now + between(world, 500, 9000);
+            break;
+        case 1:
+            world.cuts[{ index, nodeOf(other) }] = world.now + between(world, 500, 15000);
+            break;
+        case 2:
+            node.pausedUntil = world.now + between(world, 500, 25000);
+            break;
+        case 3:
+            if (node.alive)
+                kill(world, index);
+            break;
+        case 4:
+            deliver(world, index, Stopping { other });
+            later(world, between(world, 50, 5000), [&world, index, self = node.state.self] {
+                if (world.nodes[index].alive && world.nodes[index].state.self == self)
+                    kill(world, index);
+            });
+            break;
+        default:
+            deliver(world, index, HandOverWanted { { "pay", static_cast<std::uint32_t>(below(world, rangeCount)) }, other });
+        }
+        later(world, between(world, 100, 2500), [&world] { fault(world); });
+    }
+
+}
+
+Ledger runSchedule(const Scenario& scenario)
+{
+    World world;
+    world.scenario = scenario;
+    world.random.seed(scenario.seed);
+    world.nodes.resize(nodeCount);
+    for (std::size_t index = 0; index < nodeCount; ++index) {
+        start(world, index);
+        later(world, between(world, 0, tickInterval.count()), [&world, index] { tick(world, index); });
+    }
+    later(world, milliseconds(0), [&world] { claimRanges(world); });
+    later(world, milliseconds(0), [&world] { callerSends(world); });
+    later(world, milliseconds(3000), [&world] { fault(world); });
+    TimePoint end = world.now + scheduleLength;
+    while (world.now < end) {
+        auto next = world.agenda.begin();
+        world.now = next->first;
+        std::function<void()> work = std::move(next->second);
+        world.agenda.erase(next);
+        work();
+    }
+    return std::move(world.ledger);
+}
+
+}
