--- /dev/null
+++ b/packages/dispatch/bench/Simulation.cpp
@@ -0,0 +1,155 @@
+#include "Simulation.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace flamingowick::dispatch::bench {
+
+namespace {
+
+    constexpr Duration shedTime = std::chrono::milliseconds(1);
+    constexpr Duration resendDelay = std::chrono::milliseconds(100);
+    constexpr unsigned ok = 200;
+    constexpr unsigned serviceUnavailable = 503;
+
+    Duration exponential(Simulation& simulation, double meanSeconds)
+    {
+        std::exponential_distribution<double> distribution(1 / meanSeconds);
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(distribution(simulation.random)));
+    }
+
+    double toSeconds(Duration duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+
+    TimePoint endOf(const Simulation& simulation)
+    {
+        return TimePoint(std::chrono::hours(1)) + simulation.scenario.length;
+    }
+
+    // A third of the targets is faulty in the middle third of the run.
+    bool isFaulty(const Simulation& simulation, unsigned target)
+    {
+        Duration passed = simulation.loop.now - TimePoint(std::chrono::hours(1));
+        Duration third = simulation.scenario.length / 3;
+        return target < simulation.scenario.targets / 3 && passed > third && passed < 2 * third;
+    }
+
+    void sendCall(Simulation& simulation, Call call)
+    {
+        call.sent = simulation.loop.now;
+        ++simulation.measured.sends;
+        simulation.send(call);
+    }
+
+    void sendNext(Simulation& simulation, std::size_t crowd, std::string caller)
+    {
+        const Crowd& kind = simulation.scenario.crowds[crowd];
+        after(simulation.loop, exponential(simulation, 1 / kind.rate), [&simulation, crowd, caller] {
+            if (simulation.loop.now >= endOf(simulation))
+                return;
+            Call call { crowd, caller, simulation.loop.now, {}, simulation.scenario.resends, {} };
+            call.service = exponential(simulation, toSeconds(simulation.scenario.crowds[crowd].meanService));
+            CrowdResult& result = simulation.measured.crowds[crowd];
+            ++result.calls;
+            ++result.byCaller[caller].first;
+            sendCall(simulation, call);
+            sendNext(simulation, crowd, caller);
+        });
+    }
+
+    void openConnection(Simulation& simulation, unsigned vm, unsigned target)
+    {
+        auto& pools = simulation.backend.connections[target];
+        auto& [inUse, open] = pools[vm];
+        open = std::max(open, ++inUse);
+        unsigned sum = 0;
+        for (const auto& [owner, pool] : pools)
+            sum += pool.second;
+        simulation.measured.connections = std::max(simulation.measured.connections, sum);
+    }
+
+}
+
+void after(Loop& loop, Duration delay, std::function<void()> what)
+{
+    loop.agenda.push({ loop.now + delay, loop.sequence++, std::move(what) });
+}
+
+void runUntil(Loop& loop, TimePoint end)
+{
+    while (!loop.agenda.empty() && loop.agenda.top().at <= end) {
+        Happening next = loop.agenda.top();
+        loop.agenda.pop();
+        loop.now = next.at;
+        next.what();
+    }
+}
+
+double uniform(Simulation& simulation)
+{
+    return std::uniform_real_distribution<double>(0, 1)(simulation.random);
+}
+
+void startCallers(Simulation& simulation)
+{
+    simulation.random.seed(simulation.scenario.seed);
+    simulation.backend.busy.assign(simulation.scenario.targets, 0);
+    simulation.backend.connections.resize(simulation.scenario.targets);
+    for (std::size_t crowd = 0; crowd < simulation.scenario.crowds.size(); ++crowd) {
+        const Crowd& kind = simulation.scenario.crowds[crowd];
+        simulation.measured.crowds.push_back({ kind.name, 0, 0, {}, {} });
+        for (unsigned caller = 0; caller < kind.callers; ++caller)
+            sendNext(simulation, crowd, kind.name + std::to_string(caller));
+    }
+}
+
+std::function<void()> attempt(Simulation& simulation, unsigned vm, unsigned target, const Call& call, std::function<void(AttemptResult)> done)
+{
+    ++simulation.measured.attempts;
+    openConnection(simulation, vm, target);
+    bool overrun = simulation.backend.busy[target] >= simulation.scenario.slots;
+    double errorShare = isFaulty(simulation, target) ? simulation.scenario.faultShare : simulation.scenario.errorShare;
+    bool fails = uniform(simulation) < errorShare;
+    simulation.measured.overruns += overrun;
+    simulation.backend.busy[target] += !overrun;
+    auto ended = std::make_shared<bool>(false);
+    auto end = [&simulation, vm, target, overrun, ended] {
+        *ended = true;
+        simulation.backend.busy[target] -= !overrun;
+        --simulation.backend.connections[target][vm].first;
+    };
+    after(simulation.loop, overrun ? shedTime : call.service, [overrun, fails, ended, end, done = std::move(done)] {
+        if (*ended)
+            return;
+        end();
+        AttemptKind kind = overrun ? AttemptKind::Shed : AttemptKind::Answered;
+        done({ kind, overrun || fails ? serviceUnavailable : ok });
+    });
+    return [&simulation, ended, end, startedAt = simulation.loop.now] {
+        if (*ended)
+            return;
+        end();
+        simulation.measured.wasted += simulation.loop.now - startedAt;
+    };
+}
+
+void concludeSend(Simulation& simulation, const Call& call, bool succeeded, Duration added)
+{
+    CrowdResult& result = simulation.measured.crowds[call.crowd];
+    if (succeeded) {
+        ++result.succeeded;
+        ++result.byCaller[call.caller].second;
+        result.addedMilliseconds.push_back(toSeconds(added) * 1000);
+        return;
+    }
+    if (call.resendsLeft == 0)
+        return;
+    Call again = call;
+    --again.resendsLeft;
+    auto delay = std::chrono::duration_cast<Duration>(resendDelay * (0.5 + uniform(simulation)));
+    after(simulation.loop, delay, [&simulation, again] { sendCall(simulation, again); });
+}
+
+}
