Let a peer transport take any free port

The transport tests failed at random: their fixed ports lie in the range from which other connections get theirs. Ruled out: a leaked socket of an earlier test (nothing listened there).

--- a/packages/peers/include/flamingowick/peers/PeerTransport.h
+++ b/packages/peers/include/flamingowick/peers/PeerTransport.h
@@ -11,7 +11,7 @@
 
 struct TransportSettings {
     DaemonId self;
-    // Where this daemon listens, as "ip:port".
+    // Where this daemon listens, as "ip:port"; port 0 takes any free port.
     std::string address;
     // Messages that wait for the transport's thread.
     std::size_t sendCapacity { 16384 };
@@ -53,6 +53,9 @@
     // Closes the connection to an address that is no longer a member's. Safe from any thread.
     void disconnect(std::string_view address);
 
+    // Returns where this daemon listens, as "ip:port" with the port that was taken. Never changes.
+    const std::string& address() const noexcept;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl;
--- a/packages/peers/src/PeerTransport.cpp
+++ b/packages/peers/src/PeerTransport.cpp
@@ -124,6 +124,8 @@
             this->inbox = zmq::socket_t(this->context, zmq::socket_type::router);
             setCommonOptions(this->inbox, this->settings);
             this->inbox.bind("tcp://" + this->settings.address);
+            std::string endpoint = this->inbox.get(zmq::sockopt::last_endpoint);
+            this->settings.address = endpoint.substr(std::string_view("tcp://").size());
         } catch (const zmq::error_t& error) {
             throw PeerError(302, "Can't listen for peers on " + this->settings.address + ": " + error.what());
         }
@@ -260,6 +262,11 @@
 
 PeerTransport::~PeerTransport() = default;
 
+const std::string& PeerTransport::address() const noexcept
+{
+    return this->impl->settings.address;
+}
+
 bool PeerTransport::send(std::string_view address, Incarnation toIncarnation, Message message)
 {
     return this->impl->commands.tryPush(SendCommand { std::string(address), toIncarnation, std::move(message) });
--- a/packages/peers/tests/unit-transport.cpp
+++ b/packages/peers/tests/unit-transport.cpp
@@ -15,8 +15,9 @@
 
 namespace {
 
-constexpr std::string_view firstAddress = "127.0.0.1:38411";
-constexpr std::string_view secondAddress = "127.0.0.1:38412";
+constexpr std::string_view anyAddress = "127.0.0.1:0";
+// Nothing listens on this port.
+constexpr std::string_view closedAddress = "127.0.0.1:1";
 
 struct Peer {
     std::atomic<unsigned> received { 0 };
@@ -41,7 +42,7 @@
 void sendUntilReceived(Peer& from, Peer& to, Incarnation incarnation)
 {
     while (to.received == 0) {
-        from.transport->send(secondAddress, incarnation, Heartbeat { "a" });
+        from.transport->send(to.transport->address(), incarnation, Heartbeat { "a" });
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
 }
@@ -52,8 +53,8 @@
 
 TEST(PeerTransport, HandsBackWhatNoOpenConnectionTook)
 {
-    Peer alone({ "a", 1 }, firstAddress);
-    alone.transport->send(secondAddress, 0, Heartbeat { "a" });
+    Peer alone({ "a", 1 }, anyAddress);
+    alone.transport->send(closedAddress, 0, Heartbeat { "a" });
     while (alone.notSent == 0)
         std::this_thread::yield();
     CHECK_EQUAL(1U, alone.notSent.load());
@@ -61,12 +62,12 @@
 
 TEST(PeerTransport, DeliversToTheLifeThatIsMeantAndNoOther)
 {
-    Peer first({ "a", 1 }, firstAddress);
-    Peer second({ "b", 5 }, secondAddress);
+    Peer first({ "a", 1 }, anyAddress);
+    Peer second({ "b", 5 }, anyAddress);
     sendUntilReceived(first, second, 5);
     unsigned before = second.received;
-    first.transport->send(secondAddress, 4, Heartbeat { "a" });
-    first.transport->send(secondAddress, 5, Heartbeat { "a" });
+    first.transport->send(second.transport->address(), 4, Heartbeat { "a" });
+    first.transport->send(second.transport->address(), 5, Heartbeat { "a" });
     while (second.received == before)
         std::this_thread::yield();
     CHECK_EQUAL(before + 1, second.received.load());
@@ -74,9 +75,9 @@
 
 TEST(PeerTransport, ReportsALinkThatIsLost)
 {
-    Peer first({ "a", 1 }, firstAddress);
+    Peer first({ "a", 1 }, anyAddress);
     {
-        Peer second({ "b", 5 }, secondAddress);
+        Peer second({ "b", 5 }, anyAddress);
         sendUntilReceived(first, second, 5);
     }
     while (first.linksLost == 0)
@@ -86,6 +87,6 @@
 
 TEST(PeerTransport, RefusesAnAddressInUse)
 {
-    Peer first({ "a", 1 }, firstAddress);
-    CHECK_THROWS(PeerError, Peer({ "b", 1 }, firstAddress));
+    Peer first({ "a", 1 }, anyAddress);
+    CHECK_THROWS(PeerError, Peer({ "b", 1 }, first.transport->address()));
 }
