Wire keyed requests, configuration, lists and administration into the daemon

Each role is a class of its own around one pure decision package; the core joins them on one thread. Answers that may be told only up to a time carry their replacement to the server's thread, which decides at the moment of writing. Peer messages of all packages have protobuf forms.

--- a/packages/daemon/include/flamingowick/daemon/Core.h
+++ b/packages/daemon/include/flamingowick/daemon/Core.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "flamingowick/daemon/AdminService.h"
+#include "flamingowick/daemon/ConfigurationService.h"
 #include "flamingowick/daemon/CoreContext.h"
 #include "flamingowick/daemon/DispatchService.h"
 #include "flamingowick/daemon/EntryService.h"
-#include "flamingowick/peers/PeerTransport.h"
+#include "flamingowick/daemon/ForwardService.h"
+#include "flamingowick/daemon/KeyService.h"
+#include "flamingowick/daemon/ListService.h"
 
 #include <variant>
 
@@ -40,8 +44,8 @@
 
 class Core {
 public:
-    // Starts to watch the platform and to greet the seeds through the ports.
-    Core(DaemonSettings, const DaemonId&, Ports, TimePoint now);
+    // secret makes the keys that this daemon issues hard to guess.
+    Core(DaemonSettings, const DaemonId&, Ports, std::uint64_t secret, TimePoint now);
 
     // Takes in one input. Throws InvariantViolation when a promise is broken; the process must then
     // stop.
@@ -50,6 +54,9 @@
     // Does what time calls for. Expected every tickInterval.
     void tick(TimePoint now);
 
+    // Returns whether the balancer may send callers here.
+    bool ready() const;
+
 private:
     void receive(CallerRequest&, TimePoint now);
     void receive(CallerGone&, TimePoint now);
@@ -65,19 +72,44 @@
     void receiveMessage(const peers::Envelope&, peers::ForwardAnswer&, TimePoint now);
     void receiveMessage(const peers::Envelope&, peers::ForwardCancel&, TimePoint now);
     void receiveMessage(const peers::Envelope&, peers::Heartbeat&, TimePoint now);
-
-    void receiveDocument(const platform::Object&, TimePoint now);
-    void receiveTargetList(const platform::Object&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, keys::KeyedRequest&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, peers::KeyedAnswer&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, peers::KeyedRefusal&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, peers::KeyedCancel&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, keys::HandedRange&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, peers::HandedRangeAcknowledged&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, keys::HandedEntryFinished&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, keys::OwnerAnnounced&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, peers::KeyHeartbeat&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, peers::HealthSummary&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, peers::ServiceCrashReport&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, peers::ServiceQuarantine&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, peers::LeavingNotice&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, peers::TargetListShare&, TimePoint now);
+    void receiveMessage(const peers::Envelope&, configuration::PeerMessage&, TimePoint now);
+
+    EntryNeighbours entryNeighbours();
+    ForwardNeighbours forwardNeighbours();
+    KeyNeighbours keyNeighbours();
+    void issueKey(gateway::ExchangeToken, TimePoint now);
+    void documentChanged(const std::string& service);
     void loseMember(const Member&, TimePoint now);
     void sendHeartbeats(TimePoint now);
+    void proveDeaths(TimePoint now);
     void continueShutdown(TimePoint now);
-    bool isReady() const;
 
     CoreContext context;
+    PlatformCalls calls;
     EntryService entry;
+    ForwardService forwards;
     DispatchService dispatch;
+    KeyService keyService;
+    ConfigurationService configurationService;
+    ListService lists;
+    AdminService admin;
     TimePoint nextHeartbeat;
-    bool documentsSeen { false };
+    // Daemons that were lost, until a newer life is heard or their death is proven.
+    std::map<std::string, Member, std::less<>> lostMembers;
     std::optional<TimePoint> shutdownStarted;
     bool acceptingStopped { false };
     bool finished { false };
@@ -85,4 +117,7 @@
 
 inline constexpr std::chrono::milliseconds tickInterval { 10 };
 
+// Callers POST here to get a key that names its owner.
+inline constexpr std::string_view issueKeyPath = "/.well-known/flamingowick/keys";
+
 }
--- a/packages/daemon/include/flamingowick/daemon/DispatchService.h
+++ b/packages/daemon/include/flamingowick/daemon/DispatchService.h
@@ -5,6 +5,7 @@
 #include "flamingowick/health/Health.h"
 
 #include <functional>
+#include <set>
 #include <unordered_map>
 
 // The dispatcher role: runs the dispatch and health decisions of the services that this daemon
@@ -33,14 +34,20 @@
     // A service's target list changed.
     void targetsChanged(std::string_view service, TimePoint now);
 
-    // A peer's word that a target is leaving.
-    void targetLeaving(std::string_view service, const dispatch::TargetLeaving&, TimePoint now);
+    // A peer's word about a service's targets or requests.
+    void receive(const peers::LeavingNotice&, TimePoint now);
+    void receive(const peers::ServiceCrashReport&, TimePoint now);
+    void receive(const peers::ServiceQuarantine&, TimePoint now);
+    void receive(const peers::HealthSummary&, TimePoint now);
 
     void tick(TimePoint now);
 
     // Returns the number of requests that are waiting or running here.
     std::size_t active() const noexcept { return this->requests.size(); }
 
+    // Returns the targets of a service that are out of use here for their health.
+    std::vector<TargetAddress> ejectedTargets(std::string_view service) const;
+
     // Explains a target's treatment by the dispatcher on this daemon; nothing when this daemon runs
     // no dispatcher of the service.
     std::optional<health::Explanation> explain(std::string_view service, std::string_view target, TimePoint now) const;
@@ -50,6 +57,8 @@
     struct Group {
         dispatch::DispatcherState dispatcher;
         health::HealthState health;
+        // Targets whose own drain signal was passed on to the peers.
+        std::set<TargetAddress> leavingTold;
     };
 
     // A request with its body, while the dispatcher has it.
@@ -83,6 +92,8 @@
     void carryOut(Group&, const dispatch::QuarantineNotice&, TimePoint now);
 
     void answer(const RequestId&, Answer);
+    void sendToAll(const peers::Message&);
+    void sendSummaries(TimePoint now);
     void noteTargetState(Group&, const RunningAttempt&, const gateway::AttemptResult&, TimePoint now);
 
     CoreContext& context;
@@ -93,6 +104,8 @@
     std::unordered_map<std::uint64_t, RunningAttempt> attempts;
     std::unordered_map<RequestId, std::uint64_t> attemptOf;
     std::uint64_t attemptCounter { 0 };
+    TimePoint nextSummary;
+    TimePoint nextFullSummary;
     // The idempotence of the request whose attempt just ended, for the evidence that follows.
     bool evidenceIsIdempotent { true };
 };
--- a/packages/daemon/src/Core.cpp
+++ b/packages/daemon/src/Core.cpp
@@ -1,131 +1,110 @@
 #include "flamingowick/daemon/Core.h"
 
-#include "flamingowick/settings/FindingText.h"
-#include "flamingowick/settings/ServiceDocumentText.h"
 #include "flamingowick/telemetry/Log.h"
 
-#include <nlohmann/json.hpp>
-
-#include <charconv>
-
 namespace flamingowick::daemon {
 
 namespace {
 
     constexpr std::chrono::milliseconds heartbeatInterval { 250 };
     constexpr std::chrono::seconds memberSilenceLimit { 2 };
-    constexpr platform::CallId documentWatch = 1;
-    constexpr platform::CallId targetWatch = 2;
-
-    std::uint64_t parseVersion(std::string_view text)
-    {
-        std::uint64_t version = 0;
-        std::from_chars(text.data(), text.data() + text.size(), version);
-        return version;
-    }
-
-    TargetList parseTargetList(const platform::Object& object)
-    {
-        TargetList list;
-        list.version = parseVersion(object.resourceVersion);
-        auto spec = nlohmann::json::parse(object.specJson, nullptr, false);
-        if (!spec.is_object() || !spec.contains("targets"))
-            return list;
-        for (const auto& entry : spec["targets"]) {
-            Target target;
-            target.address = entry.value("address", "");
-            target.failureDomain = entry.value("failureDomain", "");
-            target.leaving = entry.value("state", "live") == "leaving";
-            list.targets.push_back(std::move(target));
-        }
-        return list;
-    }
+    // How long a VM must be silent, besides being gone from the platform's list, to be taken for dead.
+    constexpr std::chrono::seconds deathSilence { 10 };
 
 }
 
-Core::Core(DaemonSettings settings, const DaemonId& self, Ports ports, TimePoint now)
+Core::Core(DaemonSettings settings, const DaemonId& self, Ports ports, std::uint64_t secret, TimePoint now)
     : context(std::move(settings), self, std::move(ports))
-    , entry(this->context, { [this](peers::ForwardRequest message) {
-                                this->dispatch.submit(this->context.self, {}, std::move(message), Clock::now());
-                            },
-                               [this](const RequestId& id, std::uint32_t attempt) {
-                                   this->dispatch.cancel(id, attempt, Clock::now());
-                               } })
-    , dispatch(this->context, [this](const peers::ForwardAnswer& answer) { this->entry.forwardAnswered(answer, Clock::now()); })
+    , calls([this](platform::Call call) { return this->context.ports.callPlatform(std::move(call)); })
+    , entry(this->context, this->entryNeighbours())
+    , forwards(this->context, this->forwardNeighbours())
+    , dispatch(this->context, [this](const peers::ForwardAnswer& answer) { this->forwards.answered(answer); })
+    , keyService(this->context, this->calls, this->keyNeighbours(), secret)
+    , configurationService(
+          this->context, this->calls, [this](const std::string& service) { this->documentChanged(service); }, now)
+    , lists(this->context, this->calls, { [this](const std::string& service) { this->dispatch.targetsChanged(service, Clock::now()); } })
+    , admin({ this->context, this->configurationService, this->dispatch, this->keyService })
     , nextHeartbeat(now)
 {
-    this->context.ports.callPlatform(platform::Watch { documentWatch, platform::Plural::ServiceDocuments });
-    this->context.ports.callPlatform(platform::Watch { targetWatch, platform::Plural::TargetLists });
     telemetry::logInfo(telemetry::Part::Daemon, "Daemon " + toString(self) + " starts.");
 }
 
-void Core::handle(CoreInput input, TimePoint now)
+EntryNeighbours Core::entryNeighbours()
 {
-    std::visit([&](auto& each) { this->receive(each, now); }, input);
+    EntryNeighbours neighbours;
+    neighbours.forward = [this](Request request) { this->forwards.submit(ForwardClient::Entry, std::move(request), Clock::now()); };
+    neighbours.cancelForward = [this](const RequestId& id) { this->forwards.cancel(id); };
+    neighbours.runKeyed = [this](Request request) { this->keyService.handle(keys::CallerRequest { std::move(request) }, Clock::now()); };
+    neighbours.cancelKeyed = [this](const RequestId& id) { this->keyService.handle(keys::CallerGone { id }, Clock::now()); };
+    return neighbours;
 }
 
-void Core::receive(CallerRequest& input, TimePoint now)
+ForwardNeighbours Core::forwardNeighbours()
 {
-    this->entry.receive(std::move(input.request), now);
+    ForwardNeighbours neighbours;
+    neighbours.dispatchLocally = [this](peers::ForwardRequest message) { this->dispatch.submit(this->context.self, {}, std::move(message), Clock::now()); };
+    neighbours.cancelLocally = [this](const RequestId& id, std::uint32_t attempt) { this->dispatch.cancel(id, attempt, Clock::now()); };
+    neighbours.onAnswer = [this](ForwardClient client, const RequestId& id, Answer answer) {
+        if (client == ForwardClient::Entry)
+            this->entry.answered(id, { std::move(answer), {}, {} }, Clock::now());
+        else
+            this->keyService.dispatched(id, std::move(answer), Clock::now());
+    };
+    return neighbours;
 }
 
-void Core::receive(CallerGone& input, TimePoint)
+KeyNeighbours Core::keyNeighbours()
 {
-    this->entry.callerGone(input.token);
+    KeyNeighbours neighbours;
+    neighbours.dispatch = [this](Request request) { this->forwards.submit(ForwardClient::KeyOwner, std::move(request), Clock::now()); };
+    neighbours.cancelDispatch = [this](const RequestId& id) { this->forwards.cancel(id); };
+    neighbours.answerCaller = [this](const RequestId& id, TimedAnswer answer) { this->entry.answered(id, std::move(answer), Clock::now()); };
+    return neighbours;
 }
 
-void Core::receive(AdminRequest& input, TimePoint)
+void Core::handle(CoreInput input, TimePoint now)
 {
-    gateway::HttpResponse response;
-    if (input.request.target == "/healthz") {
-        response.body = "ok\n";
-    } else if (input.request.target == "/readyz") {
-        response.status = this->isReady() ? 200 : 503;
-        response.body = this->isReady() ? "ready\n" : "not ready\n";
-    } else if (input.request.target == "/metrics") {
-        this->context.metrics.set("flamingowick_members", {}, static_cast<double>(this->context.members.all().size()));
-        response.headers.push_back({ "Content-Type", "text/plain; version=0.0.4" });
-        response.body = this->context.metrics.render();
-    } else {
-        response.status = 404;
-    }
-    this->context.ports.respondAdmin(input.request.token, std::move(response));
+    std::visit([&](auto& each) { this->receive(each, now); }, input);
 }
 
-void Core::receive(peers::Envelope& envelope, TimePoint now)
+void Core::receive(CallerRequest& input, TimePoint now)
 {
-    std::visit([&](auto& message) { this->receiveMessage(envelope, message, now); }, envelope.message);
+    if (input.request.target == issueKeyPath)
+        this->issueKey(input.request.token, now);
+    else
+        this->entry.receive(std::move(input.request), now);
 }
 
-void Core::receiveMessage(const peers::Envelope& envelope, peers::ForwardRequest& message, TimePoint now)
+void Core::issueKey(gateway::ExchangeToken token, TimePoint now)
 {
-    this->dispatch.submit(envelope.from, envelope.fromAddress, std::move(message), now);
+    gateway::HttpResponse response;
+    response.headers.push_back({ "Content-Type", "application/json" });
+    response.headers.push_back({ "Cache-Control", "no-store" });
+    response.body = "{\"key\":\"" + this->keyService.issueKey(now) + "\"}\n";
+    this->context.ports.respondCaller(token, std::move(response));
 }
 
-void Core::receiveMessage(const peers::Envelope&, peers::ForwardAnswer& message, TimePoint now)
+void Core::receive(CallerGone& input, TimePoint)
 {
-    this->entry.forwardAnswered(message, now);
+    this->entry.callerGone(input.token);
 }
 
-void Core::receiveMessage(const peers::Envelope&, peers::ForwardCancel& message, TimePoint now)
+void Core::receive(AdminRequest& input, TimePoint now)
 {
-    this->dispatch.cancel(message.id, message.attempt, now);
+    this->admin.receive(input.request, this->ready(), now);
 }
 
-void Core::receiveMessage(const peers::Envelope& envelope, peers::Heartbeat& message, TimePoint now)
+void Core::receive(peers::Envelope& envelope, TimePoint now)
 {
-    const Member* known = this->context.members.find(envelope.from.vm);
-    if (known != nullptr && known->id.incarnation < envelope.from.incarnation)
-        this->loseMember(*known, now);
-    bool isNew = this->context.members.heard({ envelope.from, message.failureDomain, envelope.fromAddress, now });
-    if (isNew)
-        telemetry::logInfo(telemetry::Part::Membership, "Daemon " + toString(envelope.from) + " joined.");
+    std::visit([&](auto& message) { this->receiveMessage(envelope, message, now); }, envelope.message);
 }
 
 void Core::receive(PeerNotSent& input, TimePoint now)
 {
     if (const auto* forward = std::get_if<peers::ForwardRequest>(&input.message))
-        this->entry.forwardNotSent(*forward, now);
+        this->forwards.notSent(*forward);
+    else
+        this->keyService.notSent(input.message, now);
 }
 
 void Core::receive(PeerLinkLost& input, TimePoint now)
@@ -135,82 +114,65 @@
         this->loseMember(*member, now);
 }
 
-void Core::loseMember(const Member& lost, TimePoint now)
-{
-    DaemonId id = lost.id;
-    telemetry::logWarning(telemetry::Part::Membership, "Daemon " + toString(id) + " is lost.");
-    this->context.members.remove(id);
-    this->entry.memberLost(id, now);
-}
-
 void Core::receive(gateway::AttemptResult& result, TimePoint now)
 {
     this->dispatch.attemptEnded(std::move(result), now);
 }
 
-void Core::receive(platform::Result& result, TimePoint now)
+void Core::receive(platform::Result& result, TimePoint)
 {
-    std::span<const platform::Object> objects;
-    std::vector<platform::Object> changed;
-    if (auto* snapshot = std::get_if<platform::WatchSnapshot>(&result)) {
-        objects = snapshot->objects;
-    } else if (auto* events = std::get_if<platform::WatchEvents>(&result)) {
-        for (platform::WatchEvent& event : events->events) {
-            if (event.type != platform::ChangeType::Deleted)
-                changed.push_back(std::move(event.object));
-        }
-        objects = changed;
-    }
-    for (const platform::Object& object : objects) {
-        if (platform::callId(result) == documentWatch)
-            this->receiveDocument(object, now);
-        else
-            this->receiveTargetList(object, now);
-    }
+    this->calls.take(result);
 }
 
-void Core::receiveDocument(const platform::Object& object, TimePoint now)
+void Core::receive(ShutdownRequested&, TimePoint now)
 {
-    auto spec = nlohmann::json::parse(object.specJson, nullptr, false);
-    std::string text = spec.is_object() ? spec.value("text", "") : "";
-    auto checked = settings::parseServiceDocument(text);
-    if (!checked.accepted()) {
-        telemetry::logWarning(telemetry::Part::Configuration, settings::renderFindings(checked.findings, object.name));
+    if (this->shutdownStarted)
         return;
-    }
-    this->context.catalogue.apply(object.name, parseVersion(object.resourceVersion), checked.value);
-    this->dispatch.documentChanged(object.name, now);
-    this->documentsSeen = true;
-    telemetry::logInfo(telemetry::Part::Configuration, "Document " + object.name + " is in force.");
+    this->shutdownStarted = now;
+    telemetry::logInfo(telemetry::Part::Daemon, "Shutdown starts.");
+    this->keyService.startShutdown(now);
 }
 
-void Core::receiveTargetList(const platform::Object& object, TimePoint now)
+void Core::documentChanged(const std::string& service)
 {
-    if (this->context.catalogue.setTargets(object.name, parseTargetList(object)))
-        this->dispatch.targetsChanged(object.name, now);
+    this->dispatch.documentChanged(service, Clock::now());
+    this->keyService.documentChanged(service, Clock::now());
 }
 
-void Core::receive(ShutdownRequested&, TimePoint now)
+void Core::loseMember(const Member& member, TimePoint now)
 {
-    if (this->shutdownStarted)
-        return;
-    this->shutdownStarted = now;
-    telemetry::logInfo(telemetry::Part::Daemon, "Shutdown starts.");
+    Member lost = member;
+    telemetry::logWarning(telemetry::Part::Membership, "Daemon " + toString(lost.id) + " is lost.");
+    this->context.members.remove(lost.id);
+    lost.lastHeard = now;
+    this->lostMembers.insert_or_assign(lost.id.vm, lost);
+    this->forwards.memberLost(lost.id);
 }
 
-bool Core::isReady() const
+bool Core::ready() const
 {
-    return this->documentsSeen && !this->shutdownStarted;
+    return this->configurationService.ready() && !this->shutdownStarted;
 }
 
 void Core::tick(TimePoint now)
 {
-    this->entry.tick(now);
-    this->dispatch.tick(now);
-    for (const Member& member : this->context.members.removeSilent(now - memberSilenceLimit))
-        this->entry.memberLost(member.id, now);
+    std::vector<Member> silent;
+    for (const auto& [vm, member] : this->context.members.all()) {
+        if (member.id != this->context.self && member.lastHeard < now - memberSilenceLimit)
+            silent.push_back(member);
+    }
+    for (const Member& member : silent)
+        this->loseMember(member, now);
     if (now >= this->nextHeartbeat)
         this->sendHeartbeats(now);
+    this->configurationService.membersChanged(now);
+    this->configurationService.tick(now);
+    this->lists.setWatching(this->configurationService.watching());
+    this->lists.tick(now);
+    this->forwards.tick(now);
+    this->dispatch.tick(now);
+    this->keyService.tick(now);
+    this->proveDeaths(now);
     if (this->shutdownStarted)
         this->continueShutdown(now);
 }
@@ -219,8 +181,27 @@
 {
     this->nextHeartbeat = now + heartbeatInterval;
     peers::Heartbeat heartbeat { this->context.settings.failureDomain };
-    for (const std::string& seed : this->context.settings.seeds)
-        this->context.ports.sendPeer(seed, 0, heartbeat);
+    for (const std::string& seed : this->context.settings.seeds) {
+        if (seed != this->context.settings.peerAddress)
+            this->context.ports.sendPeer(seed, 0, heartbeat);
+    }
+}
+
+// A lost daemon is dead for certain once the platform no longer lists its VM and it stays silent.
+void Core::proveDeaths(TimePoint now)
+{
+    const auto& listed = this->lists.listedVms();
+    if (!listed || listed->empty())
+        return;
+    for (auto lost = this->lostMembers.begin(); lost != this->lostMembers.end();) {
+        bool isGone = !listed->contains(lost->first) && now - lost->second.lastHeard > deathSilence;
+        if (!isGone) {
+            ++lost;
+            continue;
+        }
+        this->keyService.handle(keys::DeathProven { lost->second.id }, now);
+        lost = this->lostMembers.erase(lost);
+    }
 }
 
 void Core::continueShutdown(TimePoint now)
@@ -230,7 +211,7 @@
         this->acceptingStopped = true;
         this->context.ports.stopAccepting();
     }
-    bool isIdle = this->entry.pending() == 0 && this->dispatch.active() == 0;
+    bool isIdle = this->entry.pending() == 0 && this->forwards.pending() == 0 && this->dispatch.active() == 0 && this->keyService.handedOver();
     bool isOver = since >= this->context.settings.shutdownLimit;
     if (this->finished || !this->acceptingStopped || !(isIdle || isOver))
         return;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "flamingowick/daemon/Core.h"
 #include "flamingowick/model/BoundedRing.h"
+#include "flamingowick/peers/PeerTransport.h"
 #include "flamingowick/platform/PlatformClient.h"
 #include "flamingowick/telemetry/Log.h"
 
@@ -9,6 +10,7 @@
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 
+#include <random>
 #include <thread>
 
 namespace flamingowick::daemon {
@@ -24,6 +26,12 @@
     // The longest wait for responses to be written at the end of a shutdown.
     constexpr std::chrono::seconds flushLimit { 5 };
 
+    std::uint64_t makeSecret()
+    {
+        std::random_device device;
+        return (static_cast<std::uint64_t>(device()) << 32U) | device();
+    }
+
     using Timer = asio::basic_waitable_timer<Clock>;
 
 }
@@ -51,7 +59,7 @@
         this->openPeers();
         this->targets = std::make_unique<gateway::TargetClient>(attemptRingCapacity, [this](gateway::AttemptResult result) { this->deliver(std::move(result)); });
         this->openAdmin();
-        this->core = std::make_unique<Core>(this->settings, this->self, this->makePorts(), Clock::now());
+        this->core = std::make_unique<Core>(this->settings, this->self, this->makePorts(), makeSecret(), Clock::now());
         // Callers come last: the entry answers only once all else is there.
         this->openEntry();
     }
@@ -96,7 +104,7 @@
         handlers.onRequest = [this](gateway::HttpRequest request) {
             gateway::ExchangeToken token = request.token;
             if (!this->inputs.tryPush(CallerRequest { std::move(request) }))
-                this->entryServer->respond(token, { 503, { { "X-Outcome", "not-run" }, { "Retry-After", "1" } }, "overloaded\n", false });
+                this->entryServer->respond(token, { 503, { { "X-Outcome", "not-run" }, { "Retry-After", "1" } }, "overloaded\n", false, {}, {} });
         };
         handlers.onHangUp = [this](gateway::ExchangeToken token) { this->deliver(CallerGone { token }); };
         this->entryServer = std::make_unique<gateway::HttpServer>(serverSettings, handlers);
--- a/packages/daemon/src/DispatchService.cpp
+++ b/packages/daemon/src/DispatchService.cpp
@@ -12,6 +12,12 @@
 namespace {
 
     constexpr std::chrono::seconds retryAfterUnknownService { 5 };
+    constexpr std::chrono::milliseconds summaryInterval { 500 };
+    // How far back an ordinary summary reaches, and how often one reaches back as far as it goes.
+    constexpr std::chrono::seconds summaryReach { 2 };
+    constexpr std::chrono::seconds fullSummaryInterval { 10 };
+    // Dispatchers in rank for a service that keep its evidence, to take over with it.
+    constexpr std::size_t evidenceKeepers = 3;
     constexpr std::array<std::string_view, 2> headersSetByTheFleet { "Host", "X-Request-Id" };
 
     std::string targetLabel(std::string_view service, std::string_view target)
@@ -131,7 +137,7 @@
     if (inForce == nullptr)
         return nullptr;
     std::uint64_t seed = combineHashes(stableHash(service), stableHash(this->context.self.vm));
-    Group group { dispatch::makeDispatcher(inForce->document, this->context.settings.failureDomain, seed, now), {} };
+    Group group { dispatch::makeDispatcher(inForce->document, this->context.settings.failureDomain, seed, now), {}, {} };
     Group& kept = this->groups.emplace(std::string(service), std::move(group)).first->second;
     this->documentChanged(service, now);
     this->targetsChanged(service, now);
@@ -154,15 +160,40 @@
     const TargetList* list = this->context.catalogue.targetsOf(service);
     if (known == this->groups.end() || list == nullptr)
         return;
+    // An address that the list no longer shows may come back as another life of the target.
+    std::erase_if(known->second.leavingTold, [&](const TargetAddress& address) {
+        return std::none_of(list->targets.begin(), list->targets.end(), [&](const Target& target) { return target.address == address; });
+    });
     this->runHealth(known->second, health::TargetsChanged { list->targets }, now);
     this->run(known->second, dispatch::TargetsChanged { list->targets, list->version }, now);
 }
 
-void DispatchService::targetLeaving(std::string_view service, const dispatch::TargetLeaving& leaving, TimePoint now)
+void DispatchService::receive(const peers::LeavingNotice& message, TimePoint now)
 {
-    auto known = this->groups.find(service);
-    if (known != this->groups.end())
-        this->run(known->second, leaving, now);
+    Group* group = this->groupFor(message.service, now);
+    if (group != nullptr)
+        this->run(*group, message.leaving, now);
+}
+
+void DispatchService::receive(const peers::ServiceCrashReport& message, TimePoint now)
+{
+    Group* group = this->groupFor(message.service, now);
+    if (group != nullptr)
+        this->run(*group, message.report, now);
+}
+
+void DispatchService::receive(const peers::ServiceQuarantine& message, TimePoint now)
+{
+    Group* group = this->groupFor(message.service, now);
+    if (group != nullptr)
+        this->run(*group, message.notice, now);
+}
+
+void DispatchService::receive(const peers::HealthSummary& message, TimePoint now)
+{
+    Group* group = this->groupFor(message.service, now);
+    if (group != nullptr)
+        this->runHealth(*group, message.summary, now);
 }
 
 void DispatchService::cancel(const RequestId& id, std::uint32_t attempt, TimePoint now)
@@ -237,14 +268,63 @@
     this->runHealth(group, observation, now);
 }
 
-void DispatchService::carryOut(Group&, const dispatch::CrashReport&, TimePoint)
+void DispatchService::carryOut(Group& group, const dispatch::CrashReport& action, TimePoint)
 {
     this->context.metrics.count("flamingowick_crash_reports_total");
+    this->sendToAll(peers::ServiceCrashReport { group.dispatcher.document.name, action });
 }
 
-void DispatchService::carryOut(Group&, const dispatch::QuarantineNotice&, TimePoint)
+void DispatchService::carryOut(Group& group, const dispatch::QuarantineNotice& action, TimePoint)
 {
+    telemetry::logWarning(telemetry::Part::Dispatch, "A request to " + group.dispatcher.document.name + " is quarantined: it crashed two targets.");
     this->context.metrics.count("flamingowick_quarantined_total");
+    this->sendToAll(peers::ServiceQuarantine { group.dispatcher.document.name, action });
+}
+
+void DispatchService::sendToAll(const peers::Message& message)
+{
+    for (const auto& [vm, member] : this->context.members.all()) {
+        if (vm != this->context.self.vm)
+            this->context.ports.sendPeer(member.peerAddress, member.id.incarnation, message);
+    }
+}
+
+// Sends each service's evidence to the daemons that would dispatch for it next.
+void DispatchService::sendSummaries(TimePoint now)
+{
+    if (now < this->nextSummary)
+        return;
+    bool isFull = now >= this->nextFullSummary;
+    this->nextSummary = now + summaryInterval;
+    if (isFull)
+        this->nextFullSummary = now + fullSummaryInterval;
+    health::ObserverId self { this->context.self, this->context.settings.failureDomain };
+    TimePoint since = isFull ? TimePoint() : fleetTime(now - summaryReach);
+    for (const auto& [service, group] : this->groups) {
+        peers::HealthSummary message { service, health::makeSummary(group.health, self, since) };
+        if (message.summary.counters.empty() && message.summary.records.empty())
+            continue;
+        const std::vector<std::string>& order = this->context.members.orderFor(service);
+        for (std::size_t rank = 0; rank < std::min(order.size(), evidenceKeepers); ++rank) {
+            const Member* member = this->context.members.find(order[rank]);
+            if (member->id != this->context.self)
+                this->context.ports.sendPeer(member->peerAddress, member->id.incarnation, message);
+        }
+    }
+}
+
+std::vector<TargetAddress> DispatchService::ejectedTargets(std::string_view service) const
+{
+    std::vector<TargetAddress> ejected;
+    auto known = this->groups.find(service);
+    if (known == this->groups.end())
+        return ejected;
+    for (const auto& [address, target] : known->second.dispatcher.targets.byAddress) {
+        health::StandingShare standing = health::standingOf(known->second.health, address, this->context.settings.failureDomain);
+        if (standing.standing == health::Standing::Ejected || standing.standing == health::Standing::Trickle)
+            ejected.push_back(address);
+    }
+    return ejected;
 }
 
 void DispatchService::runHealth(Group& group, const health::Event& event, TimePoint now)
@@ -295,8 +375,12 @@
 void DispatchService::noteTargetState(Group& group, const RunningAttempt& attempt, const gateway::AttemptResult& result, TimePoint now)
 {
     const std::string* state = gateway::findHeader(result.headers, targetStateHeader);
-    if (state != nullptr && *state == "leaving")
-        this->run(group, dispatch::TargetLeaving { attempt.target, 0 }, now);
+    if (state == nullptr || *state != "leaving" || group.leavingTold.contains(attempt.target))
+        return;
+    group.leavingTold.insert(attempt.target);
+    dispatch::TargetLeaving leaving { attempt.target, 0 };
+    this->run(group, leaving, now);
+    this->sendToAll(peers::LeavingNotice { attempt.service, leaving });
 }
 
 void DispatchService::answer(const RequestId& id, Answer answer)
@@ -321,6 +405,7 @@
             this->run(group, dispatch::Tick {}, now);
         this->runHealth(group, health::Tick {}, now);
     }
+    this->sendSummaries(now);
 }
 
 std::optional<health::Explanation> DispatchService::explain(std::string_view service, std::string_view target, TimePoint now) const
--- a/packages/daemon/tests/unit-core.cpp
+++ b/packages/daemon/tests/unit-core.cpp
@@ -1,5 +1,7 @@
 #include "FakePorts.h"
 
+#include "flamingowick/daemon/StoredForms.h"
+
 // Last: its macros for new would break the other headers.
 #include <CppUTest/TestHarness.h>
 
@@ -8,7 +10,9 @@
 
 namespace {
 
-platform::Object makeDocument()
+constexpr std::string_view documentText = R"({"name": "ledger", "routes": [{"host": "ledger.example", "pathPrefix": "/"}]})";
+
+platform::Object makeSource()
 {
     platform::Object object;
     object.plural = platform::Plural::ServiceDocuments;
@@ -18,6 +22,17 @@
     return object;
 }
 
+platform::Object makeAccepted()
+{
+    configuration::AcceptedDocument document;
+    document.service = "ledger";
+    document.version = 1;
+    document.revision = 1;
+    document.checked = configuration::markOf(readSource(makeSource()));
+    document.text = documentText;
+    return writeAccepted(document, "2");
+}
+
 platform::Object makeTargets()
 {
     platform::Object object;
@@ -51,9 +66,21 @@
     void setup() override
     {
         Clock::pause();
-        this->core = std::make_unique<Core>(makeSettings(), this->self, this->ports.make(), Clock::now());
-        this->core->handle(platform::Result(platform::WatchSnapshot { 1, { makeDocument() }, "1" }), Clock::now());
-        this->core->handle(platform::Result(platform::WatchSnapshot { 2, { makeTargets() }, "2" }), Clock::now());
+        this->core = std::make_unique<Core>(makeSettings(), this->self, this->ports.make(), 1, Clock::now());
+        this->core->tick(Clock::now());
+        this->showList(platform::Plural::ServiceDocuments, makeSource());
+        this->showList(platform::Plural::AcceptedDocuments, makeAccepted());
+        this->showList(platform::Plural::TargetLists, makeTargets());
+    }
+
+    // Answers the core's watch of a kind with one object.
+    void showList(platform::Plural plural, const platform::Object& object)
+    {
+        for (const platform::Call& call : std::vector<platform::Call>(this->ports.calls)) {
+            const auto* watch = std::get_if<platform::Watch>(&call);
+            if (watch != nullptr && watch->plural == plural)
+                this->core->handle(platform::Result(platform::WatchSnapshot { watch->id, { object }, "9" }), Clock::now());
+        }
     }
 
     void teardown() override
--- a/packages/gateway/include/flamingowick/gateway/HttpServer.h
+++ b/packages/gateway/include/flamingowick/gateway/HttpServer.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -34,6 +35,9 @@
     std::vector<Header> headers;
     std::string body;
     bool closeConnection { false };
+    // Past this time otherwise is written instead, when it is set.
+    std::optional<TimePoint> validUntil;
+    std::shared_ptr<const HttpResponse> otherwise;
 };
 
 struct HttpServerSettings {
--- a/packages/gateway/src/HttpServer.cpp
+++ b/packages/gateway/src/HttpServer.cpp
@@ -201,11 +201,11 @@
     restinio::request_handling_status_t handle(restinio::request_handle_t request)
     {
         if (hasMalformedName(request->header())) {
-            writeResponse(request, { 400, {}, "malformed header name\n", true }, true);
+            writeResponse(request, { 400, {}, "malformed header name\n", true, {}, {} }, true);
             return restinio::request_accepted();
         }
         if (request->body().size() > this->settings.maxBodyBytes) {
-            writeResponse(request, { 413, {}, "request body too large\n", true }, true);
+            writeResponse(request, { 413, {}, "request body too large\n", true, {}, {} }, true);
             return restinio::request_accepted();
         }
         ExchangeToken token = this->nextToken++;
@@ -245,6 +245,8 @@
         auto exchange = this->exchanges.find(token);
         if (exchange == this->exchanges.end())
             return;
+        if (response.validUntil && response.otherwise && Clock::now() > *response.validUntil)
+            response = HttpResponse(*response.otherwise);
         auto request = std::move(exchange->second.request);
         this->forget(token, exchange->second.connection);
         writeResponse(request, std::move(response), !this->accepting, [this] { --this->outstandingCount; });
--- a/packages/gateway/tests/unit-gateway.cpp
+++ b/packages/gateway/tests/unit-gateway.cpp
@@ -44,7 +44,7 @@
         if (folded != nullptr)
             request.body = *folded;
         if (!this->silent)
-            this->server->respond(request.token, { 200, { { "X-Echo", "yes" } }, request.method + " " + request.target + " " + request.body, false });
+            this->server->respond(request.token, { 200, { { "X-Echo", "yes" } }, request.method + " " + request.target + " " + request.body, false, {}, {} });
     }
 
     std::string address() const { return "127.0.0.1:" + std::to_string(this->server->port()); }
--- a/packages/peers/include/flamingowick/peers/Message.h
+++ b/packages/peers/include/flamingowick/peers/Message.h
@@ -1,11 +1,18 @@
 #pragma once
 
+#include "flamingowick/configuration/Messages.h"
+#include "flamingowick/dispatch/Messages.h"
+#include "flamingowick/health/Events.h"
+#include "flamingowick/keys/Messages.h"
 #include "flamingowick/model/Identifiers.h"
 #include "flamingowick/model/Request.h"
+#include "flamingowick/model/Target.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 // The messages that daemons send to each other.
 namespace flamingowick::peers {
@@ -35,7 +42,71 @@
     std::string failureDomain;
 };
 
-using Message = std::variant<ForwardRequest, ForwardAnswer, ForwardCancel, Heartbeat>;
+// An owner's answer to a keyed request.
+struct KeyedAnswer {
+    RequestId id;
+    Answer answer;
+    // How long the owner had the request.
+    Duration heldFor { 0 };
+};
+
+// The receiver of a keyed request made no entry for it.
+struct KeyedRefusal {
+    RequestId id;
+    // Set when the sender owns the range under another epoch.
+    std::optional<keys::RangeRecord> record;
+};
+
+// The caller of a keyed request has gone.
+struct KeyedCancel {
+    RequestId id;
+};
+
+// The successor has taken the entries of a range.
+struct HandedRangeAcknowledged {
+    keys::RangeId id;
+    std::uint64_t epochEnded { 0 };
+};
+
+// A daemon's own clock, by which the age of keyed requests is bounded.
+struct KeyHeartbeat {
+    TimePoint stamp;
+};
+
+// What a dispatcher has seen and decided about a service's targets.
+struct HealthSummary {
+    std::string service;
+    health::PooledSummary summary;
+};
+
+struct ServiceCrashReport {
+    std::string service;
+    dispatch::CrashReport report;
+};
+
+struct ServiceQuarantine {
+    std::string service;
+    dispatch::QuarantineNotice notice;
+};
+
+// Word that a target is leaving, ahead of the list.
+struct LeavingNotice {
+    std::string service;
+    dispatch::TargetLeaving leaving;
+};
+
+// The platform's list of a service's targets, as a watcher read it.
+struct TargetListShare {
+    std::string service;
+    std::uint64_t version { 0 };
+    std::vector<Target> targets;
+};
+
+using Message = std::variant<ForwardRequest, ForwardAnswer, ForwardCancel, Heartbeat,
+    keys::KeyedRequest, KeyedAnswer, KeyedRefusal, KeyedCancel, keys::HandedRange, HandedRangeAcknowledged,
+    keys::HandedEntryFinished, keys::OwnerAnnounced, KeyHeartbeat,
+    HealthSummary, ServiceCrashReport, ServiceQuarantine, LeavingNotice, TargetListShare,
+    configuration::PeerMessage>;
 
 // A message with its sender.
 struct Envelope {
--- a/packages/peers/src/Codec.cpp
+++ b/packages/peers/src/Codec.cpp
@@ -1,9 +1,13 @@
 #include "flamingowick/peers/Codec.h"
 
 #include "flamingowick/model/Error.h"
+#include "flamingowick/peers/detail/WireDocuments.h"
+#include "flamingowick/peers/detail/WireKeys.h"
 #include "flamingowick/peers/detail/WireModel.h"
+#include "flamingowick/peers/detail/WireTargets.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace flamingowick::peers {
 
@@ -41,28 +45,115 @@
         {
             this->envelope.mutable_heartbeat()->set_failure_domain(message.failureDomain);
         }
+
+        void operator()(const keys::KeyedRequest& message) const { detail::toWire(message, this->now, *this->envelope.mutable_keyed_request()); }
+        void operator()(const KeyedAnswer& message) const { detail::toWire(message, *this->envelope.mutable_keyed_answer()); }
+        void operator()(const KeyedRefusal& message) const { detail::toWire(message, *this->envelope.mutable_keyed_refusal()); }
+        void operator()(const KeyedCancel& message) const { detail::toWire(message.id, *this->envelope.mutable_keyed_cancel()->mutable_id()); }
+        void operator()(const keys::HandedRange& message) const { detail::toWire(message, *this->envelope.mutable_handed_range()); }
+        void operator()(const HandedRangeAcknowledged& message) const { detail::toWire(message, *this->envelope.mutable_handed_range_acknowledged()); }
+        void operator()(const keys::HandedEntryFinished& message) const { detail::toWire(message, *this->envelope.mutable_handed_entry_finished()); }
+        void operator()(const keys::OwnerAnnounced& message) const { detail::toWire(message.record, *this->envelope.mutable_owner_announced()->mutable_record()); }
+        void operator()(const KeyHeartbeat& message) const { this->envelope.mutable_key_heartbeat()->set_stamp(message.stamp.time_since_epoch().count()); }
+        void operator()(const HealthSummary& message) const { detail::toWire(message, *this->envelope.mutable_health_summary()); }
+        void operator()(const ServiceCrashReport& message) const { detail::toWire(message, *this->envelope.mutable_crash_report()); }
+        void operator()(const ServiceQuarantine& message) const { detail::toWire(message, *this->envelope.mutable_quarantine_notice()); }
+        void operator()(const LeavingNotice& message) const { detail::toWire(message, *this->envelope.mutable_target_leaving()); }
+        void operator()(const TargetListShare& message) const { detail::toWire(message, *this->envelope.mutable_target_list_share()); }
+        void operator()(const configuration::PeerMessage& message) const { detail::toWire(message, this->envelope); }
     };
 
-    Message readBody(const wire::Envelope& envelope, TimePoint now, Duration underWay)
+    ForwardRequest readForward(const wire::ForwardRequest& wire, TimePoint now, Duration underWay)
+    {
+        return { detail::fromWire(wire.request(), now, underWay), wire.attempt(), wire.origin_domain() };
+    }
+
+    // Reads the body of an envelope that is about documents, or nothing if it is about other things.
+    std::optional<configuration::PeerMessage> readDocumentBody(const wire::Envelope& envelope)
+    {
+        switch (envelope.body_case()) {
+        case wire::Envelope::kAnnouncement:
+            return detail::fromWire(envelope.announcement());
+        case wire::Envelope::kDocumentRequest:
+            return detail::fromWire(envelope.document_request());
+        case wire::Envelope::kDocumentBatch:
+            return detail::fromWire(envelope.document_batch());
+        case wire::Envelope::kDigestSummary:
+            return detail::fromWire(envelope.digest_summary());
+        case wire::Envelope::kDigestBuckets:
+            return detail::fromWire(envelope.digest_buckets());
+        case wire::Envelope::kDigestEntries:
+            return detail::fromWire(envelope.digest_entries());
+        default:
+            return std::nullopt;
+        }
+    }
+
+    // Reads the body of an envelope that is about targets, or nothing if it is about other things.
+    std::optional<Message> readTargetBody(const wire::Envelope& envelope)
     {
         switch (envelope.body_case()) {
-        case wire::Envelope::kForwardRequest: {
-            const wire::ForwardRequest& wire = envelope.forward_request();
-            return ForwardRequest { detail::fromWire(wire.request(), now, underWay), wire.attempt(), wire.origin_domain() };
+        case wire::Envelope::kHealthSummary:
+            return detail::fromWire(envelope.health_summary());
+        case wire::Envelope::kCrashReport:
+            return detail::fromWire(envelope.crash_report());
+        case wire::Envelope::kQuarantineNotice:
+            return detail::fromWire(envelope.quarantine_notice());
+        case wire::Envelope::kTargetLeaving:
+            return detail::fromWire(envelope.target_leaving());
+        case wire::Envelope::kTargetListShare:
+            return detail::fromWire(envelope.target_list_share());
+        default:
+            return std::nullopt;
         }
-        case wire::Envelope::kForwardAnswer: {
+    }
+
+    // Reads the body of an envelope that is about keys, or nothing if it is about other things.
+    std::optional<Message> readKeyBody(const wire::Envelope& envelope, TimePoint now, Duration underWay, std::int64_t wallMs)
+    {
+        switch (envelope.body_case()) {
+        case wire::Envelope::kKeyedRequest:
+            return detail::fromWire(envelope.keyed_request(), now, underWay, wallMs);
+        case wire::Envelope::kKeyedAnswer:
+            return detail::fromWire(envelope.keyed_answer());
+        case wire::Envelope::kKeyedRefusal:
+            return detail::fromWire(envelope.keyed_refusal());
+        case wire::Envelope::kKeyedCancel:
+            return KeyedCancel { detail::fromWire(envelope.keyed_cancel().id()) };
+        case wire::Envelope::kHandedRange:
+            return detail::fromWire(envelope.handed_range());
+        case wire::Envelope::kHandedRangeAcknowledged:
+            return detail::fromWire(envelope.handed_range_acknowledged());
+        case wire::Envelope::kHandedEntryFinished:
+            return detail::fromWire(envelope.handed_entry_finished());
+        case wire::Envelope::kOwnerAnnounced:
+            return keys::OwnerAnnounced { detail::fromWire(envelope.owner_announced().record()) };
+        case wire::Envelope::kKeyHeartbeat:
+            return KeyHeartbeat { TimePoint(Duration(envelope.key_heartbeat().stamp())) };
+        default:
+            return std::nullopt;
+        }
+    }
+
+    Message readBody(const wire::Envelope& envelope, TimePoint now, Duration underWay, std::int64_t wallMs)
+    {
+        if (envelope.has_forward_request())
+            return readForward(envelope.forward_request(), now, underWay);
+        if (envelope.has_forward_answer()) {
             const wire::ForwardAnswer& wire = envelope.forward_answer();
             return ForwardAnswer { detail::fromWire(wire.id()), wire.attempt(), detail::fromWire(wire.answer()) };
         }
-        case wire::Envelope::kForwardCancel: {
-            const wire::ForwardCancel& wire = envelope.forward_cancel();
-            return ForwardCancel { detail::fromWire(wire.id()), wire.attempt() };
-        }
-        case wire::Envelope::kHeartbeat:
+        if (envelope.has_forward_cancel())
+            return ForwardCancel { detail::fromWire(envelope.forward_cancel().id()), envelope.forward_cancel().attempt() };
+        if (envelope.has_heartbeat())
             return Heartbeat { envelope.heartbeat().failure_domain() };
-        default:
-            throw PeerError(301, "An envelope has no known body");
-        }
+        if (auto message = readKeyBody(envelope, now, underWay, wallMs))
+            return std::move(*message);
+        if (auto message = readTargetBody(envelope))
+            return std::move(*message);
+        if (auto message = readDocumentBody(envelope))
+            return std::move(*message);
+        throw PeerError(301, "An envelope has no known body");
     }
 
 }
@@ -89,7 +180,7 @@
     envelope.fromAddress = wire.from_peer_address();
     envelope.toIncarnation = wire.to_incarnation();
     envelope.sentAtWallMs = wire.sent_at_wall_ms();
-    envelope.message = readBody(wire, now, underWay);
+    envelope.message = readBody(wire, now, underWay, wallMs);
     return envelope;
 }
 
