--- a/packages/standins/include/flamingowick/standins/detail/HttpServer.h
+++ b/packages/standins/include/flamingowick/standins/detail/HttpServer.h
@@ -58,6 +58,10 @@
     // Closes the connection without any further byte.
     void drop();
 
+    // Closes the connection and calls nothing: for the end of the server, when the io_context is
+    // stopped.
+    void abandon() noexcept;
+
     // Sets what is called once when the connection closes while the present request is unanswered.
     void onCancel(std::function<void()> handler) { this->cancelHandler = std::move(handler); }
 
@@ -101,6 +105,11 @@
     // it can't.
     HttpServer(asio::io_context&, const std::string& address, std::uint16_t port, HttpHandler, HttpServerLimits = {});
 
+    // Abandons every connection. The io_context must not run any more.
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
     std::uint16_t port() const { return this->boundPort; }
 
     // Takes no further connections, as a process that is gone.
@@ -115,6 +124,11 @@
     // While frozen, connections are accepted by the kernel alone and nothing is read.
     void setFrozen(bool);
 
+    std::size_t openConnections() const noexcept { return this->connections.size(); }
+
+    // The most connections that were open at a time.
+    std::size_t mostConnections() const noexcept { return this->peakConnections; }
+
     const HttpHandler& requestHandler() const noexcept { return this->handler; }
     const HttpServerLimits& connectionLimits() const noexcept { return this->limits; }
     void forget(const HttpConnection&) noexcept;
@@ -127,6 +141,7 @@
     HttpHandler handler;
     HttpServerLimits limits;
     std::unordered_map<const HttpConnection*, std::shared_ptr<HttpConnection>> connections;
+    std::size_t peakConnections { 0 };
     std::uint16_t boundPort { 0 };
     bool frozen { false };
 };
--- a/packages/standins/src/HttpServer.cpp
+++ b/packages/standins/src/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "flamingowick/standins/detail/HttpServer.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace flamingowick::standins::detail {
@@ -98,6 +99,14 @@
         cancel();
 }
 
+void HttpConnection::abandon() noexcept
+{
+    this->closed = true;
+    this->cancelHandler = nullptr;
+    asio::error_code error;
+    this->socket.close(error);
+}
+
 void HttpConnection::resumeReading()
 {
     this->paused = false;
@@ -214,6 +223,12 @@
     this->reopen();
 }
 
+HttpServer::~HttpServer()
+{
+    for (const auto& entry : this->connections)
+        entry.second->abandon();
+}
+
 void HttpServer::close()
 {
     asio::error_code error;
@@ -264,6 +279,7 @@
         if (!error && this->connections.size() < this->limits.maxConnections) {
             const auto connection = std::make_shared<HttpConnection>(std::move(socket), *this);
             this->connections.emplace(connection.get(), connection);
+            this->peakConnections = std::max(this->peakConnections, this->connections.size());
             if (this->frozen)
                 connection->pauseReading();
             connection->start();
