--- a/packages/standins/include/flamingowick/standins/StandinTargets.h
+++ b/packages/standins/include/flamingowick/standins/StandinTargets.h
@@ -87,6 +87,8 @@
 
 struct TargetLedger {
     std::vector<RunRecord> runs;
+    // All runs, those included that the ledger no longer keeps.
+    std::uint64_t runCount { 0 };
     std::uint64_t dropped { 0 };
     std::uint64_t shed { 0 };
     std::uint64_t refusedDraining { 0 };
--- a/packages/standins/include/flamingowick/standins/detail/HttpParser.h
+++ b/packages/standins/include/flamingowick/standins/detail/HttpParser.h
@@ -29,22 +29,32 @@
 // Returns the value of a query parameter, not decoded; empty when absent.
 std::string_view queryValue(std::string_view query, std::string_view name) noexcept;
 
-// Collects one request at a time from a connection's bytes.
-class RequestParser {
+struct HttpResponse {
+    unsigned status { 0 };
+    std::vector<Header> headers;
+    std::string body;
+    bool keepAlive { true };
+};
+
+// Collects one message at a time from a connection's bytes.
+class MessageParser {
 public:
-    explicit RequestParser(std::size_t maxBodyBytes);
-    RequestParser(const RequestParser&) = delete;
-    RequestParser& operator=(const RequestParser&) = delete;
+    // Reads requests with HTTP_REQUEST and responses with HTTP_RESPONSE.
+    MessageParser(http_parser_type, std::size_t maxBodyBytes);
+    MessageParser(const MessageParser&) = delete;
+    MessageParser& operator=(const MessageParser&) = delete;
 
-    // Takes bytes up to the end of the present request and returns how many. Afterwards complete()
-    // tells whether a request is whole and failed() whether the bytes are no HTTP.
+    // Takes bytes up to the end of the present message and returns how many. Afterwards complete()
+    // tells whether a message is whole and failed() whether the bytes are no HTTP. No bytes at all
+    // stand for the end of the connection.
     std::size_t feed(std::string_view bytes);
 
     bool complete() const noexcept { return this->whole; }
     bool failed() const noexcept { return this->broken; }
 
-    // Hands out the whole request and starts on the next.
-    HttpRequest take();
+    // Hands out the whole message and starts on the next.
+    HttpRequest takeRequest();
+    HttpResponse takeResponse();
 
 private:
     static int onUrl(http_parser*, const char* at, std::size_t length);
@@ -53,12 +63,15 @@
     static int onBody(http_parser*, const char* at, std::size_t length);
     static int onComplete(http_parser*);
     static const http_parser_settings& callbacks() noexcept;
+    void startNext();
 
     http_parser parser {};
-    HttpRequest request;
     std::string url;
+    std::vector<Header> headers;
+    std::string body;
     std::size_t maxBodyBytes;
     bool lastWasValue { false };
+    bool keepAlive { true };
     bool whole { false };
     bool broken { false };
 };
--- a/packages/standins/include/flamingowick/standins/detail/HttpServer.h
+++ b/packages/standins/include/flamingowick/standins/detail/HttpServer.h
@@ -82,7 +82,7 @@
 
     asio::ip::tcp::socket socket;
     HttpServer& server;
-    RequestParser parser;
+    MessageParser parser;
     std::array<char, 16384> input {};
     std::string unparsed;
     std::string outgoing;
--- a/packages/standins/src/HttpServer.cpp
+++ b/packages/standins/src/HttpServer.cpp
@@ -32,7 +32,7 @@
 HttpConnection::HttpConnection(asio::ip::tcp::socket socket, HttpServer& server)
     : socket(std::move(socket))
     , server(server)
-    , parser(server.connectionLimits().maxBodyBytes)
+    , parser(HTTP_REQUEST, server.connectionLimits().maxBodyBytes)
 {
     asio::error_code error;
     this->socket.set_option(asio::ip::tcp::no_delay(true), error);
@@ -150,7 +150,7 @@
 
 void HttpConnection::dispatch()
 {
-    HttpRequest request = this->parser.take();
+    HttpRequest request = this->parser.takeRequest();
     request.peer = this->peer;
     this->keepAlive = request.keepAlive;
     this->busy = true;
--- a/packages/standins/src/TargetJson.cpp
+++ b/packages/standins/src/TargetJson.cpp
@@ -88,7 +88,7 @@
         { "maxRunning", ledger.maxRunning },
         { "openConnections", ledger.openConnections },
         { "maxConnections", ledger.maxConnections },
-        { "runCount", ledger.runs.size() + ledger.dropped },
+        { "runCount", ledger.runCount },
     };
     if (withRuns) {
         rendered["runs"] = json::array();
