--- a/packages/standins/src/HttpServer.cpp
+++ b/packages/standins/src/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "flamingowick/standins/detail/HttpServer.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace flamingowick::standins::detail {
@@ -31,7 +32,7 @@
 HttpConnection::HttpConnection(asio::ip::tcp::socket socket, HttpServer& server)
     : socket(std::move(socket))
     , server(server)
-    , parser(server.connectionLimits().maxBodyBytes)
+    , parser(HTTP_REQUEST, server.connectionLimits().maxBodyBytes)
 {
     asio::error_code error;
     this->socket.set_option(asio::ip::tcp::no_delay(true), error);
@@ -98,6 +99,14 @@
         cancel();
 }
 
+void HttpConnection::abandon() noexcept
+{
+    this->closed = true;
+    this->cancelHandler = nullptr;
+    asio::error_code error;
+    this->socket.close(error);
+}
+
 void HttpConnection::resumeReading()
 {
     this->paused = false;
@@ -141,7 +150,7 @@
 
 void HttpConnection::dispatch()
 {
-    HttpRequest request = this->parser.take();
+    HttpRequest request = this->parser.takeRequest();
     request.peer = this->peer;
     this->keepAlive = request.keepAlive;
     this->busy = true;
@@ -214,6 +223,12 @@
     this->reopen();
 }
 
+HttpServer::~HttpServer()
+{
+    for (const auto& entry : this->connections)
+        entry.second->abandon();
+}
+
 void HttpServer::close()
 {
     asio::error_code error;
@@ -264,6 +279,7 @@
         if (!error && this->connections.size() < this->limits.maxConnections) {
             const auto connection = std::make_shared<HttpConnection>(std::move(socket), *this);
             this->connections.emplace(connection.get(), connection);
+            this->peakConnections = std::max(this->peakConnections, this->connections.size());
             if (this->frozen)
                 connection->pauseReading();
             connection->start();
