Rank callers without copies; let a high service-time estimate recover

An estimate above every deadline kept all requests from starting, and so from correcting it; each drop now lowers it.

--- a/packages/dispatch/bench/EntrySystem.cpp
+++ b/packages/dispatch/bench/EntrySystem.cpp
@@ -1,5 +1,7 @@
 #include "Systems.h"
 
+#include <algorithm>
+
 namespace flamingowick::dispatch::bench {
 
 namespace {
--- a/packages/dispatch/bench/Simulation.cpp
+++ b/packages/dispatch/bench/Simulation.cpp
@@ -43,7 +43,7 @@
         simulation.send(call);
     }
 
-    void sendNext(Simulation& simulation, std::size_t crowd, std::string caller)
+    void sendNext(Simulation& simulation, std::size_t crowd, const std::string& caller)
     {
         const Crowd& kind = simulation.scenario.crowds[crowd];
         after(simulation.loop, exponential(simulation, 1 / kind.rate), [&simulation, crowd, caller] {
--- a/packages/dispatch/bench/Simulation.h
+++ b/packages/dispatch/bench/Simulation.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <queue>
 #include <random>
+#include <string>
 
 // Simulated time, targets and callers that all measurements share.
 namespace flamingowick::dispatch::bench {
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -92,19 +92,27 @@
         return true;
     }
 
-    std::vector<std::pair<CallerRank, std::string>> rankCallers(const Step& step)
+    using RankedCaller = std::pair<CallerRank, const std::string*>;
+
+    bool isServedLater(const RankedCaller& left, const RankedCaller& right)
+    {
+        return right.first < left.first;
+    }
+
+    // Returns a heap of the waiting callers, the next one to serve on top.
+    std::vector<RankedCaller> rankCallers(const Step& step)
     {
         const WaitQueue& queue = step.state.queue;
         double slots = totalSlots(step.state.targets, step.state.document.targets, step.now);
         double equalShare = slots / static_cast<double>(std::max<std::size_t>(1, queue.callers.size()));
-        std::vector<std::pair<CallerRank, std::string>> order;
+        std::vector<RankedCaller> order;
         for (const auto& [caller, own] : queue.callers) {
             if (own.waiting.empty())
                 continue;
             CallerLoad load { own.inFlight, own.virtualTime, own.waiting.front().sequence, equalShare };
-            order.emplace_back(step.state.policy.rankCaller(load), caller);
+            order.emplace_back(step.state.policy.rankCaller(load), &caller);
         }
-        std::sort(order.begin(), order.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+        std::make_heap(order.begin(), order.end(), isServedLater);
         return order;
     }
 
@@ -120,13 +128,17 @@
             TimePoint deadline = step.state.requests.at(id).ticket.deadline;
             if (canFinish(step.state.serviceTime, step.now, deadline))
                 return true;
+            recordHopeless(step.state.serviceTime);
             finish(step, id, FinishReason::DeadlineExceeded, gatewayTimeout, std::nullopt);
         }
     }
 
     bool startOne(Step& step)
     {
-        for (const auto& [rank, caller] : rankCallers(step)) {
+        std::vector<RankedCaller> order = rankCallers(step);
+        for (; !order.empty(); order.pop_back()) {
+            std::pop_heap(order.begin(), order.end(), isServedLater);
+            std::string caller = *order.back().second;
             if (!dropHopeless(step, caller))
                 continue;
             RequestId id = step.state.queue.callers.find(caller)->second.waiting.front().id;
