Count repeated crashes of one target and tie drain signals to a target's life

A request that crashes a service's only target was never contained, since one address counts once; a crash by an attempt that began after the last one there now counts. A drain signal of an earlier life no longer marks the present one.

--- a/packages/dispatch/include/flamingowick/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/flamingowick/dispatch/Dispatcher.h
@@ -3,6 +3,7 @@
 #include "flamingowick/dispatch/Policy.h"
 #include "flamingowick/dispatch/ServiceTime.h"
 
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -13,6 +14,8 @@
 // An attempt that has not been reported as ended.
 struct Attempt {
     TargetAddress target;
+    // The life of the target at the start.
+    std::uint64_t life { 0 };
     TimePoint startedAt;
     // What the caller was charged at the start.
     Duration expected { 0 };
--- a/packages/dispatch/include/flamingowick/dispatch/Slots.h
+++ b/packages/dispatch/include/flamingowick/dispatch/Slots.h
@@ -22,6 +22,8 @@
     double trialCredit { 0 };
     // Attempts not yet reported as ended.
     unsigned inFlight { 0 };
+    // Grows whenever the target turns out to be a fresh one.
+    std::uint64_t life { 0 };
     // The highest start number known, 0 when none is.
     std::uint64_t start { 0 };
     // None when the target takes its full share.
--- a/packages/dispatch/include/flamingowick/dispatch/detail/Steps.h
+++ b/packages/dispatch/include/flamingowick/dispatch/detail/Steps.h
@@ -41,7 +41,7 @@
 void endAttempt(Step&, const TargetAnswered&);
 
 // Notes a possible crash and, if that makes the fingerprint refused, finishes who waits with it.
-void noteCrash(Step&, std::uint64_t fingerprint, const TargetAddress& target);
+void noteCrash(Step&, std::uint64_t fingerprint, const TargetAddress& target, TimePoint startedAt);
 
 // Finishes all waiting requests that are refused by now.
 void finishRefused(Step&);
--- a/packages/dispatch/src/Completion.cpp
+++ b/packages/dispatch/src/Completion.cpp
@@ -58,10 +58,9 @@
         return std::nullopt;
     }
 
-    void accountAttempt(Step& step, ActiveRequest& request, const TargetAnswered& event)
+    void accountAttempt(Step& step, ActiveRequest& request, const Attempt& attempt, const TargetAnswered& event)
     {
         DispatcherState& state = step.state;
-        Attempt attempt = *request.attempt;
         Duration taken = step.now - attempt.startedAt;
         request.attempt.reset();
         request.mayHaveRun = request.mayHaveRun || !state.policy.certainlyNotRun(event.result.kind);
@@ -79,7 +78,16 @@
             recordServiceTime(state.serviceTime, taken);
     }
 
-    void accountCrash(Step& step, const Ticket& ticket, const TargetAnswered& event)
+    // The drain signal of an earlier life says nothing of the present one.
+    void accountDrain(Step& step, const Attempt& attempt)
+    {
+        const auto& targets = step.state.targets.byAddress;
+        auto place = targets.find(attempt.target);
+        if (place != targets.end() && place->second.life == attempt.life)
+            applyLeaving(step.state.targets, { attempt.target, 0 }, step.now);
+    }
+
+    void accountCrash(Step& step, const Ticket& ticket, const Attempt& attempt, const TargetAnswered& event)
     {
         for (std::uint64_t fingerprint : fingerprints(ticket)) {
             if (event.result.kind == AttemptKind::Answered)
@@ -87,7 +95,7 @@
             if (event.result.kind != AttemptKind::Crashed)
                 continue;
             step.actions.push_back(CrashReport { fingerprint, event.target });
-            noteCrash(step, fingerprint, event.target);
+            noteCrash(step, fingerprint, event.target, attempt.startedAt);
         }
     }
 
@@ -121,10 +129,11 @@
     ActiveRequest& request = place->second;
     if (!request.attempt || request.attempt->target != event.target)
         return;
-    accountAttempt(step, request, event);
+    Attempt attempt = *request.attempt;
+    accountAttempt(step, request, attempt, event);
     if (event.result.kind == AttemptKind::Drained)
-        applyLeaving(step.state.targets, { event.target }, step.now);
-    accountCrash(step, request.ticket, event);
+        accountDrain(step, attempt);
+    accountCrash(step, request.ticket, attempt, event);
     if (request.finished)
         forget(step.state, event.id);
     else
--- a/packages/dispatch/src/CrashLedger.cpp
+++ b/packages/dispatch/src/CrashLedger.cpp
@@ -25,14 +25,17 @@
 
 }
 
-bool recordCrash(CrashLedger& ledger, std::uint64_t fingerprint, const TargetAddress& target, const CrashPolicy& policy, TimePoint now)
+bool recordCrash(CrashLedger& ledger, std::uint64_t fingerprint, const TargetAddress& target, TimePoint startedAt, const CrashPolicy& policy, TimePoint now)
 {
     if (crashCount(ledger, fingerprint, policy, now) == 0)
         ledger.suspects.erase(fingerprint);
     CrashLedger::Suspect& suspect = ledger.suspects[fingerprint];
-    suspect.crashed.insert(target);
+    auto [last, first] = suspect.crashed.try_emplace(target, now);
+    bool another = first || startedAt > last->second;
+    suspect.crashes += another;
+    last->second = now;
     suspect.lastCrash = now;
-    if (suspect.crashed.size() >= policy.distinctTargets) {
+    if (suspect.crashes >= policy.distinctTargets) {
         ledger.suspects.erase(fingerprint);
         refuse(ledger, fingerprint, now + policy.refuseFor);
         return true;
@@ -68,7 +71,7 @@
     auto place = ledger.suspects.find(fingerprint);
     if (place == ledger.suspects.end() || now - place->second.lastCrash > policy.refuseFor)
         return 0;
-    return place->second.crashed.size();
+    return place->second.crashes;
 }
 
 }
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -88,7 +88,8 @@
 
     void apply(Step& step, const CrashReport& event)
     {
-        detail::noteCrash(step, event.fingerprint, event.target);
+        // Without the time of the attempt, each target counts once.
+        detail::noteCrash(step, event.fingerprint, event.target, TimePoint::min());
     }
 
     void apply(Step& step, const QuarantineNotice& event)
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -73,7 +73,8 @@
         for (std::uint64_t fingerprint : fingerprints(request.ticket))
             ++state.running[fingerprint];
         request.tried.push_back(target);
-        request.attempt = Attempt { target, step.now, state.serviceTime.mean };
+        std::uint64_t life = state.targets.byAddress.find(target)->second.life;
+        request.attempt = Attempt { target, life, step.now, state.serviceTime.mean };
         setExpiry(state, id, request.ticket.deadline);
         step.actions.push_back(StartAttempt { id, target });
     }
--- a/packages/dispatch/src/Slots.cpp
+++ b/packages/dispatch/src/Slots.cpp
@@ -13,6 +13,7 @@
 
     void makeFresh(TargetState& state, TimePoint now)
     {
+        ++state.life;
         state.leaving = false;
         state.listOutdated = false;
         state.ejected = false;
--- a/packages/dispatch/src/Steps.cpp
+++ b/packages/dispatch/src/Steps.cpp
@@ -127,10 +127,10 @@
         finishIfRefused(step, id);
 }
 
-void noteCrash(Step& step, std::uint64_t fingerprint, const TargetAddress& target)
+void noteCrash(Step& step, std::uint64_t fingerprint, const TargetAddress& target, TimePoint startedAt)
 {
     const CrashPolicy& policy = step.state.document.crashes;
-    if (!recordCrash(step.state.crashes, fingerprint, target, policy, step.now))
+    if (!recordCrash(step.state.crashes, fingerprint, target, startedAt, policy, step.now))
         return;
     step.actions.push_back(QuarantineNotice { fingerprint, policy.refuseFor });
     finishRefused(step);
--- a/packages/dispatch/tests/Ledger.h
+++ b/packages/dispatch/tests/Ledger.h
@@ -12,6 +12,8 @@
     unsigned runs { 0 };
     bool mayHaveRun { false };
     std::optional<TargetAddress> running;
+    // The life of the running attempt's target.
+    unsigned life { 0 };
 };
 
 // How often each kind of thing happened, to see that the schedules reach it.
@@ -30,6 +32,7 @@
     std::unordered_map<RequestId, LedgerEntry> requests;
     std::map<TargetAddress, unsigned> inFlight;
     std::map<TargetAddress, std::uint64_t> starts;
+    std::map<TargetAddress, unsigned> lives;
     std::set<TargetAddress> listed;
     std::set<TargetAddress> leaving;
     std::set<TargetAddress> ejected;
--- a/packages/dispatch/tests/unit-requests.cpp
+++ b/packages/dispatch/tests/unit-requests.cpp
@@ -149,6 +149,30 @@
     CHECK(fixture.first<Finish>()->outcome == Outcome::NotRun);
 }
 
+TEST(Requests, CrashASingleTargetTwiceAtMost)
+{
+    Fixture fixture({}, 1);
+    for (int crash = 0; crash < 2; ++crash) {
+        fixture.now += seconds(30);
+        RequestId id = fixture.submit(false, "c", 77);
+        fixture.end(id, AttemptKind::Crashed);
+    }
+    CHECK(fixture.first<QuarantineNotice>());
+    fixture.submit(false, "c", 77);
+    CHECK_FALSE(fixture.first<StartAttempt>());
+}
+
+TEST(Requests, ThatRanTogetherWhenATargetCrashedCountOnce)
+{
+    Fixture fixture({}, 1);
+    RequestId first = fixture.submit(false, "c", 77);
+    RequestId second = fixture.submit(false, "d", 77);
+    fixture.now += seconds(1);
+    fixture.end(first, AttemptKind::Crashed);
+    fixture.end(second, AttemptKind::Crashed);
+    CHECK_FALSE(fixture.first<QuarantineNotice>());
+}
+
 TEST(Requests, ThatPeersReportAreRefusedToo)
 {
     Fixture fixture;
--- a/packages/dispatch/tests/unit-targets.cpp
+++ b/packages/dispatch/tests/unit-targets.cpp
@@ -63,6 +63,15 @@
     CHECK(fixture.state.targets.byAddress.at("t0").leaving);
 }
 
+TEST(Targets, IgnoreTheDrainSignalOfAnEarlierLife)
+{
+    Fixture fixture({}, 1);
+    RequestId id = fixture.submit();
+    fixture.send(TargetStarted { "t0", 5 });
+    fixture.end(id, AttemptKind::Drained, 503);
+    CHECK_FALSE(fixture.state.targets.byAddress.at("t0").leaving);
+}
+
 TEST(Targets, AreLeavingWhenTheWordCameBeforeTheList)
 {
     Fixture fixture({}, 1);
