Bracket wall clock readings, so that a pause can't date a takeover back

Readings now carry the steady time at which they were made. The test world also reads what waited in a paused daemon in any order.

--- a/packages/keys/include/flamingowick/keys/EntryTable.h
+++ b/packages/keys/include/flamingowick/keys/EntryTable.h
@@ -78,7 +78,7 @@
 
 // Adds an entry, replacing none: the key must be absent, else InvariantViolation (AtMostOnce).
 // Limits are not looked at. The reference holds until the entry is erased. May throw std::bad_alloc.
-KeyEntry& addEntry(EntryTable&, const RangeId&, KeyEntry entry);
+KeyEntry& addEntry(EntryTable&, const RangeId&, const KeyEntry&);
 
 // Moves the expiry of an entry.
 void setExpiry(EntryTable&, const RangeId&, KeyEntry&, TimePoint expiresAt);
--- a/packages/keys/include/flamingowick/keys/KeyMachine.h
+++ b/packages/keys/include/flamingowick/keys/KeyMachine.h
@@ -31,6 +31,8 @@
     Duration retryInterval { std::chrono::seconds(1) };
     // Step of the wall clock against the steady one that is taken for a suspended machine.
     Duration suspendLimit { std::chrono::seconds(2) };
+    // Longest time that reading both clocks may have taken.
+    Duration maxReadingWidth { std::chrono::milliseconds(50) };
     // Records remembered as hints where to forward to.
     std::size_t maxViews { 20000 };
 };
--- a/packages/keys/include/flamingowick/keys/Messages.h
+++ b/packages/keys/include/flamingowick/keys/Messages.h
@@ -15,6 +15,17 @@
 // What the key machine is told and what it asks for.
 namespace flamingowick::keys {
 
+// A reading of the wall clock against the steady clock. The reader may be paused in between, so the
+// steady clock is read before and after.
+struct WallReading {
+    // Milliseconds since the Unix epoch.
+    std::int64_t wallMs { 0 };
+    // The steady clock just before.
+    TimePoint readAt;
+    // How far the steady clock had moved just after. Readings that took long are not used.
+    Duration width { 0 };
+};
+
 // A keyed request on its way from an entry VM to an owner.
 struct KeyedRequest {
     Request request;
@@ -25,8 +36,8 @@
     // A heartbeat time of the owner, in the owner's clock, that the entry had heard before it
     // accepted the request. The owner overestimates the request's age by it.
     std::optional<TimePoint> ownerStamp;
-    // The receiver's wall clock at arrival, in milliseconds since the Unix epoch; set on receipt.
-    std::int64_t wallMs { 0 };
+    // The receiver's clocks at arrival, set on receipt.
+    WallReading wall;
 };
 
 // One entry as it moves between daemons; times are relative, since clocks differ.
@@ -156,9 +167,9 @@
     std::string service;
     KeyPolicy policy;
 };
-// Comes several times a second. wallMs is the wall clock in milliseconds since the Unix epoch.
+// Comes several times a second.
 struct Tick {
-    std::int64_t wallMs { 0 };
+    WallReading wall;
 };
 // The daemon shuts down while ranges can't be handed over: their entries go to the keeper.
 struct Stopping {
--- a/packages/keys/include/flamingowick/keys/detail/Parts.h
+++ b/packages/keys/include/flamingowick/keys/detail/Parts.h
@@ -15,7 +15,7 @@
 // Wall clock and evidence, Evidence.cpp.
 
 // Takes in a reading of the wall clock and notices a suspended machine.
-void observeWall(Context&, std::int64_t wallMs);
+void observeWall(Context&, const WallReading&);
 // Returns the wall clock now, in milliseconds since the Unix epoch; never goes back.
 std::int64_t wallNow(const State&, TimePoint now) noexcept;
 bool isProvenDead(const State&, const DaemonId&);
--- a/packages/keys/src/EntrySide.cpp
+++ b/packages/keys/src/EntrySide.cpp
@@ -46,7 +46,7 @@
         attempt.forwardedTo = owner;
         attempt.forwardedAt = context.now;
         ++attempt.forwards;
-        context.actions.emplace_back(Forward { { attempt.request, attempt.range, epoch, owner, stamp, 0 } });
+        context.actions.emplace_back(Forward { { attempt.request, attempt.range, epoch, owner, stamp, {} } });
     }
 
     void lookUp(Context& context, const RangeId& id)
--- a/packages/keys/src/EntryTable.cpp
+++ b/packages/keys/src/EntryTable.cpp
@@ -56,13 +56,12 @@
     return table.entryCount < limits.maxEntries && bytes <= limits.maxBytes;
 }
 
-KeyEntry& addEntry(EntryTable& table, const RangeId& range, KeyEntry entry)
+KeyEntry& addEntry(EntryTable& table, const RangeId& range, const KeyEntry& entry)
 {
     RangeEntries& entries = table.ranges[range];
-    std::string key = entry.key;
-    auto [position, added] = entries.entries.try_emplace(key, std::move(entry));
+    auto [position, added] = entries.entries.try_emplace(entry.key, entry);
     checkInvariant(added, Invariant::AtMostOnce, "a key got a second entry");
-    table.expiries.insert({ position->second.expiresAt, { range, key } });
+    table.expiries.insert({ position->second.expiresAt, { range, entry.key } });
     ++table.entryCount;
     table.byteCount += entryBytes(position->second);
     return position->second;
--- a/packages/keys/src/Evidence.cpp
+++ b/packages/keys/src/Evidence.cpp
@@ -13,15 +13,18 @@
 
 namespace detail {
 
-    void observeWall(Context& context, std::int64_t wallMs)
+    void observeWall(Context& context, const WallReading& reading)
     {
         WallClock& wall = context.state.wall;
-        std::int64_t expected = wallNow(context.state, context.now);
-        Duration ahead = std::chrono::milliseconds(wallMs - expected);
+        bool late = wall.known && reading.readAt < wall.at;
+        if (late || reading.width > context.state.limits.maxReadingWidth)
+            return;
+        std::int64_t expected = wallNow(context.state, reading.readAt);
+        Duration ahead = std::chrono::milliseconds(reading.wallMs - expected);
         if (wall.known && ahead > context.state.limits.suspendLimit)
             context.state.stampFloor = context.now;
-        wall.wallMs = wall.known ? std::max(expected, wallMs) : wallMs;
-        wall.at = context.now;
+        wall.wallMs = wall.known ? std::max(expected, reading.wallMs) : reading.wallMs;
+        wall.at = reading.readAt;
         wall.known = true;
     }
 
--- a/packages/keys/src/KeyMachine.cpp
+++ b/packages/keys/src/KeyMachine.cpp
@@ -44,7 +44,7 @@
 
     void take(Context& context, const Tick& event)
     {
-        observeWall(context, event.wallMs);
+        observeWall(context, event.wall);
         expireOwned(context);
         retryOwnership(context);
         expireAttempts(context);
--- a/packages/keys/src/OwnerSide.cpp
+++ b/packages/keys/src/OwnerSide.cpp
@@ -238,7 +238,7 @@
 void keyedRequest(Context& context, const KeyedRequest& message)
 {
     State& state = context.state;
-    observeWall(context, message.wallMs);
+    observeWall(context, message.wall);
     bool issuedRange = message.range.range == issuedRangeNumber;
     auto issued = parseIssuedKey(message.request.idempotencyKey);
     Holding* holding = issuedRange ? nullptr : matchingHolding(state, message);
--- a/packages/keys/tests/World.cpp
+++ b/packages/keys/tests/World.cpp
@@ -33,6 +33,7 @@
     }
     std::int64_t skew(World& world) { return between(world, -clockBound.count() / 2, clockBound.count() / 2).count(); }
     TimePoint localNow(const World& world, const Node& node) { return world.now + node.clockOffset; }
+    WallReading readWall(const World& world, const Node& node) { return { trueWallMs(world) + node.wallSkewMs, localNow(world, node), Duration(0) }; }
     void later(World& world, Duration delay, std::function<void()> work) { world.agenda.emplace(world.now + delay, std::move(work)); }
 
     void violation(World& world, std::string text) { world.ledger.violations.push_back(std::move(text)); }
@@ -214,7 +215,7 @@
     {
         Node& node = world.nodes[index];
         if (auto* message = std::get_if<KeyedRequest>(&event))
-            message->wallMs = trueWallMs(world) + node.wallSkewMs;
+            message->wall = readWall(world, node);
         std::vector<Action> actions;
         try {
             actions = handle(node.state, event, localNow(world, node));
@@ -233,6 +234,7 @@
             perform(world, index, action);
     }
 
+    // Carries out what was held back by a pause that is over, and takes in what has come.
     void wake(World& world, std::size_t index)
     {
         Node& node = world.nodes[index];
@@ -242,6 +244,8 @@
         node.inbox.clear();
         for (const Action& action : held)
             perform(world, index, action);
+        // Its threads read what has waited in any order, but before anything else comes in.
+        std::shuffle(inbox.begin(), inbox.end(), world.random);
         for (const Event& event : inbox)
             deliver(world, index, event);
     }
@@ -251,9 +255,13 @@
         Node& node = world.nodes[to];
         if (!node.alive)
             return;
-        if (node.pausedUntil > world.now)
+        if (node.pausedUntil > world.now) {
             node.inbox.push_back(event);
-        else
+            return;
+        }
+        if (!node.inbox.empty() || !node.held.empty())
+            wake(world, to);
+        if (node.alive && node.pausedUntil <= world.now)
             process(world, to, event);
     }
 
@@ -284,7 +292,7 @@
         state.issued.secret = world.random();
         later(world, milliseconds(100), [&world, index] { gossipViews(world, index); });
         deliver(world, index, PolicyChanged { "pay", { retention, clockBound } });
-        deliver(world, index, Tick { trueWallMs(world) + node.wallSkewMs });
+        deliver(world, index, Tick { readWall(world, node) });
     }
 
     void kill(World& world, std::size_t index)
@@ -302,11 +310,8 @@
     void tick(World& world, std::size_t index)
     {
         Node& node = world.nodes[index];
-        if (node.alive && node.pausedUntil <= world.now) {
-            if (!node.inbox.empty() || !node.held.empty())
-                wake(world, index);
-            process(world, index, Tick { trueWallMs(world) + node.wallSkewMs });
-        }
+        if (node.pausedUntil <= world.now)
+            deliver(world, index, Tick { readWall(world, node) });
         later(world, tickInterval, [&world, index] { tick(world, index); });
     }
 
