--- a/packages/keys/include/flamingowick/keys/EntryTable.h
+++ b/packages/keys/include/flamingowick/keys/EntryTable.h
@@ -61,7 +61,7 @@
     // Expiry order over all ranges.
     std::set<std::pair<TimePoint, std::pair<RangeId, std::string>>> expiries;
     // Where the entry of a dispatched request is.
-    std::map<RequestId, std::pair<RangeId, std::string>> runners;
+    std::unordered_map<RequestId, std::pair<RangeId, std::string>> runners;
     std::size_t entryCount { 0 };
     std::size_t byteCount { 0 };
     std::size_t refusalCount { 0 };
--- a/packages/keys/include/flamingowick/keys/KeyMachine.h
+++ b/packages/keys/include/flamingowick/keys/KeyMachine.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 // Runs non-idempotent keyed requests at most once. Each range of keys has one owner, named by a
@@ -89,6 +90,7 @@
 
 // Heartbeat times of one owner. newer becomes usable once it has settled.
 struct OwnerStamps {
+    Incarnation incarnation { 0 };
     std::optional<TimePoint> usable;
     TimePoint usableSince;
     std::optional<TimePoint> newer;
@@ -110,8 +112,9 @@
     std::map<RangeId, RangeRecord> views;
     // Ranges whose record was asked for, with the time of asking.
     std::map<RangeId, TimePoint> lookups;
-    std::map<DaemonId, OwnerStamps> stamps;
-    std::map<RequestId, Attempt> attempts;
+    // By VM; only the latest incarnation of each.
+    std::map<std::string, OwnerStamps> stamps;
+    std::unordered_map<RequestId, Attempt> attempts;
 };
 
 struct State {
--- a/packages/keys/include/flamingowick/keys/RangeRecord.h
+++ b/packages/keys/include/flamingowick/keys/RangeRecord.h
@@ -2,9 +2,9 @@
 
 #include "flamingowick/model/Identifiers.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 // The record by which the platform's store names the one daemon that may run the keys of a range.
 namespace flamingowick::keys {
@@ -17,9 +17,15 @@
     std::string service;
     std::uint32_t range { 0 };
 
-    auto operator<=>(const RangeId&) const = default;
+    bool operator==(const RangeId&) const = default;
 };
 
+// Orders by service, then range. Never throws.
+inline bool operator<(const RangeId& left, const RangeId& right) noexcept
+{
+    return std::tie(left.service, left.range) < std::tie(right.service, right.range);
+}
+
 // One range's ownership. Records are never deleted: a range without a record has never had an owner.
 struct RangeRecord {
     RangeId id;
--- a/packages/keys/src/EntrySide.cpp
+++ b/packages/keys/src/EntrySide.cpp
@@ -24,8 +24,8 @@
     // Returns the latest heartbeat time that had settled when the request was accepted.
     std::optional<TimePoint> stampAt(const State& state, const DaemonId& owner, TimePoint acceptedAt)
     {
-        auto found = state.entry.stamps.find(owner);
-        if (found == state.entry.stamps.end())
+        auto found = state.entry.stamps.find(owner.vm);
+        if (found == state.entry.stamps.end() || found->second.incarnation != owner.incarnation)
             return std::nullopt;
         const OwnerStamps& stamps = found->second;
         Duration settle = state.limits.stampSettle;
@@ -103,12 +103,12 @@
 
 void heartbeatReceived(Context& context, const HeartbeatReceived& event)
 {
-    auto& known = context.state.entry.stamps;
-    if (!known.contains(event.from))
-        std::erase_if(known, [&](const auto& item) {
-            return item.first.vm == event.from.vm && item.first.incarnation < event.from.incarnation;
-        });
-    OwnerStamps& stamps = known[event.from];
+    OwnerStamps& stamps = context.state.entry.stamps[event.from.vm];
+    if (event.from.incarnation < stamps.incarnation)
+        return;
+    if (event.from.incarnation > stamps.incarnation)
+        stamps = OwnerStamps();
+    stamps.incarnation = event.from.incarnation;
     stamps.heardAt = context.now;
     bool settled = stamps.newer && stamps.newerSince + context.state.limits.stampSettle <= context.now;
     if (settled) {
--- a/packages/keys/src/Evidence.cpp
+++ b/packages/keys/src/Evidence.cpp
@@ -46,8 +46,8 @@
     {
         OwnerEvidence evidence;
         evidence.provenDead = isProvenDead(state, owner);
-        auto stamps = state.entry.stamps.find(owner);
-        if (stamps != state.entry.stamps.end())
+        auto stamps = state.entry.stamps.find(owner.vm);
+        if (stamps != state.entry.stamps.end() && stamps->second.incarnation == owner.incarnation)
             evidence.silence = now - stamps->second.heardAt;
         return evidence;
     }
--- a/packages/keys/tests/World.h
+++ b/packages/keys/tests/World.h
@@ -5,10 +5,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
-#include <set>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 // Several key machines among a lossy network, an unreliable store, targets and callers, driven by a
@@ -28,7 +28,7 @@
 };
 
 struct Ledger {
-    std::map<RequestId, Sent> attempts;
+    std::unordered_map<RequestId, Sent> attempts;
     // When and for which attempt each key was run.
     std::map<std::string, std::vector<std::pair<TimePoint, RequestId>>> runs;
     std::map<std::string, std::vector<TimePoint>> notRunTold;
@@ -76,7 +76,7 @@
     Store store;
     Ledger ledger;
     std::vector<Key> keys;
-    std::set<RequestId> cancelled;
+    std::unordered_set<RequestId> cancelled;
     // One-way cuts between nodes, with their end.
     std::map<std::pair<std::size_t, std::size_t>, TimePoint> cuts;
     std::multimap<TimePoint, std::function<void()>> agenda;
