--- a/packages/keys/include/flamingowick/keys/KeyMachine.h
+++ b/packages/keys/include/flamingowick/keys/KeyMachine.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 // Runs non-idempotent keyed requests at most once. Each range of keys has one owner, named by a
@@ -31,6 +32,8 @@
     Duration retryInterval { std::chrono::seconds(1) };
     // Step of the wall clock against the steady one that is taken for a suspended machine.
     Duration suspendLimit { std::chrono::seconds(2) };
+    // Longest time that reading both clocks may have taken.
+    Duration maxReadingWidth { std::chrono::milliseconds(50) };
     // Records remembered as hints where to forward to.
     std::size_t maxViews { 20000 };
 };
@@ -87,6 +90,7 @@
 
 // Heartbeat times of one owner. newer becomes usable once it has settled.
 struct OwnerStamps {
+    Incarnation incarnation { 0 };
     std::optional<TimePoint> usable;
     TimePoint usableSince;
     std::optional<TimePoint> newer;
@@ -108,8 +112,9 @@
     std::map<RangeId, RangeRecord> views;
     // Ranges whose record was asked for, with the time of asking.
     std::map<RangeId, TimePoint> lookups;
-    std::map<DaemonId, OwnerStamps> stamps;
-    std::map<RequestId, Attempt> attempts;
+    // By VM; only the latest incarnation of each.
+    std::map<std::string, OwnerStamps> stamps;
+    std::unordered_map<RequestId, Attempt> attempts;
 };
 
 struct State {
