configuration: state precisely what a daemon that becomes ready must have

The check compared with the versions that all ready daemons had at some time, and forgot a daemon that became ready since, within the lag that the check itself allows; built a second daemon on such a one. It now compares with the slowest of the other ready daemons a moment ago, and, more strictly than before, with the store itself where no other daemon is ready.

--- a/packages/configuration/tests/FakeFleet.cpp
+++ b/packages/configuration/tests/FakeFleet.cpp
@@ -14,6 +14,12 @@
     // A daemon that becomes ready may lag behind the fleet by what happened within this time.
     constexpr std::int64_t readinessLagMs = 3'000;
 
+    std::uint64_t versionAt(const std::map<std::int64_t, std::uint64_t>& since, std::int64_t timeMs)
+    {
+        const auto after = since.upper_bound(timeMs);
+        return after == since.begin() ? 0 : std::prev(after)->second;
+    }
+
 }
 
 Checked<ServiceDocument> checkFakeText(std::string_view text)
@@ -219,6 +225,7 @@
     std::uint64_t& version = this->nodes[node].applied[apply.service];
     this->require(apply.version > version, "an older version was applied");
     version = apply.version;
+    this->nodes[node].appliedSince[apply.service][this->clockMs] = version;
     const auto& history = this->store.accepted[apply.service];
     const auto written = std::ranges::find_if(history, [&](const StoredDocument& stored) { return stored.document.version == apply.version; });
     if (written == history.end()) {
@@ -234,12 +241,11 @@
 void FakeFleet::perform(std::size_t node, const BecomeReady&)
 {
     this->nodes[node].everReady = true;
-    auto floor = this->floors.upper_bound(this->clockMs - readinessLagMs);
-    if (floor == this->floors.begin())
-        return;
-    --floor;
-    for (const auto& [service, version] : floor->second)
-        this->require(this->nodes[node].applied[service] >= version, "a daemon became ready behind what the fleet had in force");
+    this->nodes[node].readySinceMs = this->clockMs;
+    for (const std::string& service : this->services) {
+        const bool current = this->nodes[node].applied[service] >= this->readinessFloor(node, service);
+        this->require(current, "a daemon became ready behind what the fleet had in force");
+    }
 }
 
 void FakeFleet::callStore(std::size_t node, std::int64_t delayMs, std::function<Event()> call, const Event& failure)
@@ -284,6 +290,7 @@
         return WriteOutcome::Conflict;
     ++this->store.writes;
     this->store.lastWriteMs = this->clockMs;
+    this->storedSince[write.document.service][this->clockMs] = write.document.version;
     history.push_back({ write.document, "o" + std::to_string(this->store.writes) });
     this->notifyWatchers(AcceptedNoticed { history.back() });
     return WriteOutcome::Done;
@@ -347,6 +354,7 @@
             const SourceObject source { service, std::to_string(version), service + " " + std::to_string(++this->textsWritten) + " ok", "operator" };
             document = decideChange(document, source, this->policy.check, {});
             this->store.sources[service] = source;
+            this->storedSince[service][this->clockMs] = version;
             this->store.accepted[service].push_back({ document, "start" + std::to_string(version) });
         }
     }
@@ -404,20 +412,21 @@
     }
 }
 
-// Notes the versions that all ready daemons have in force; a version once noted counts on.
-void FakeFleet::recordFloor()
+// Returns the version that a daemon must have when it becomes ready: that which the slowest of the
+// other ready daemons had a moment ago, or when it became ready itself if that was later. Never more
+// than the store had a moment ago, and just that where no other daemon is ready.
+std::uint64_t FakeFleet::readinessFloor(std::size_t node, const std::string& service)
 {
-    std::map<std::string, std::uint64_t> floor;
-    for (const std::string& service : this->services) {
-        std::optional<std::uint64_t> least;
-        for (Node& node : this->nodes) {
-            if (node.up && node.everReady)
-                least = std::min(least.value_or(node.applied[service]), node.applied[service]);
-        }
-        const std::uint64_t before = this->floors.empty() ? 0 : this->floors.rbegin()->second[service];
-        floor[service] = std::max(before, least.value_or(0));
+    const std::int64_t momentAgo = this->clockMs - readinessLagMs;
+    std::optional<std::uint64_t> least;
+    for (Node& other : this->nodes) {
+        if (!other.up || !other.everReady || &other == &this->nodes[node])
+            continue;
+        const std::uint64_t version = versionAt(other.appliedSince[service], std::max(momentAgo, other.readySinceMs));
+        least = std::min(least.value_or(version), version);
     }
-    this->floors[this->clockMs] = floor;
+    const std::uint64_t stored = versionAt(this->storedSince[service], momentAgo);
+    return std::min(least.value_or(stored), stored);
 }
 
 bool FakeFleet::documentsAgree() const
@@ -498,7 +507,6 @@
             this->changeSource();
         if (this->odds(40))
             this->injectFault();
-        this->recordFloor();
     }
     this->faults = {};
     this->cuts.clear();
@@ -510,7 +518,6 @@
     const std::int64_t quietSince = this->clockMs;
     while (this->clockMs < quietSince + quietMs && this->violations.empty()) {
         this->runUntil(this->clockMs + tickMs);
-        this->recordFloor();
         const std::int64_t quietFor = this->clockMs - quietSince;
         if (!this->documentsAgree())
             this->agreementMs = -1;
--- a/packages/configuration/tests/FakeFleet.h
+++ b/packages/configuration/tests/FakeFleet.h
@@ -46,7 +46,10 @@
     bool up { false };
     bool watching { false };
     bool everReady { false };
+    std::int64_t readySinceMs { 0 };
     std::map<std::string, std::uint64_t> applied;
+    // The versions in force by the time from which they were.
+    std::map<std::string, std::map<std::int64_t, std::uint64_t>> appliedSince;
     // Events for earlier lives are dropped.
     std::uint64_t life { 0 };
     // When the last event of the watch, and of the membership, arrives; later ones don't overtake it.
@@ -123,7 +126,7 @@
     void fillAudit();
     void changeSource();
     void injectFault();
-    void recordFloor();
+    std::uint64_t readinessFloor(std::size_t node, const std::string& service);
     bool documentsAgree() const;
     bool allReady() const;
     void checkAudit();
@@ -138,8 +141,8 @@
     std::vector<Node> nodes;
     std::vector<std::string> services;
     std::set<std::pair<std::size_t, std::size_t>> cuts;
-    // Versions that every ready daemon had in force, by time.
-    std::map<std::int64_t, std::map<std::string, std::uint64_t>> floors;
+    // Versions in the store by the time from which they were there.
+    std::map<std::string, std::map<std::int64_t, std::uint64_t>> storedSince;
 };
 
 // Accepts texts "<service> <number> ok"; the number becomes queue.maxWaiting.
