--- a/packages/configuration/include/flamingowick/configuration/Acceptance.h
+++ b/packages/configuration/include/flamingowick/configuration/Acceptance.h
@@ -15,11 +15,11 @@
 // Audit entries that travel with a document between daemons, for reading during an outage.
 constexpr std::size_t peerAuditEntries = 8;
 // Findings kept in one audit entry, and bytes of each text in them.
-constexpr std::size_t maxAuditFindings = 8;
+constexpr std::size_t maxAuditFindings = 4;
 constexpr std::size_t maxAuditTextBytes = 200;
-// Longest text that is accepted. With its audit trail the document stays within the store's values
-// of one megabyte.
-constexpr std::size_t maxSourceBytes = 600'000;
+// Longest text that is accepted. With its audit trail, and with every character escaped, the document
+// stays within the store's values of one megabyte.
+constexpr std::size_t maxSourceBytes = 300'000;
 // Number of the finding for a document that names another service than its object, and for one that
 // is too long to store.
 constexpr int nameMismatchNumber = 150;
--- a/packages/configuration/src/Acceptance.cpp
+++ b/packages/configuration/src/Acceptance.cpp
@@ -10,9 +10,18 @@
 
 namespace {
 
-    std::string cut(const std::string& text)
+    // Shortens a text to what the audit trail keeps, between two UTF-8 characters. Control characters,
+    // which JSON would write six times as long, become '?'.
+    std::string cut(std::string_view text)
     {
-        return text.substr(0, maxAuditTextBytes);
+        const auto isContinuation = [](char byte) { return (static_cast<unsigned char>(byte) & 0xc0U) == 0x80U; };
+        const auto isControl = [](char byte) { return static_cast<unsigned char>(byte) < 0x20U; };
+        std::size_t length = std::min(text.size(), maxAuditTextBytes);
+        while (length < text.size() && length > 0 && isContinuation(text[length]))
+            --length;
+        std::string kept(text.substr(0, length));
+        std::ranges::replace_if(kept, isControl, '?');
+        return kept;
     }
 
     std::vector<Finding> firstFindings(const std::vector<Finding>& findings)
@@ -41,11 +50,11 @@
         AuditEntry entry;
         entry.revision = next.revision;
         entry.changeId = stamp.changeId;
-        entry.who = who.substr(0, maxAuditTextBytes);
+        entry.who = cut(who);
         entry.whenMs = stamp.whenMs;
         entry.fromVersion = next.version;
         entry.toVersion = next.version;
-        entry.sourceVersion = next.checked.resourceVersion;
+        entry.sourceVersion = cut(next.checked.resourceVersion);
         return entry;
     }
 
--- a/packages/settings/include/flamingowick/settings/detail/JsonValue.h
+++ b/packages/settings/include/flamingowick/settings/JsonValue.h
@@ -1,21 +1,14 @@
 #pragma once
 
-#include "flamingowick/settings/detail/FindingList.h"
+#include "flamingowick/model/Finding.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 // JSON values that remember the line they stand on.
-namespace flamingowick::settings::detail {
-
-// Limits on a text, so that reading one costs bounded time and memory whatever it holds.
-constexpr std::size_t maxTextBytes = 1'000'000;
-constexpr std::size_t maxDepth = 16;
-constexpr std::size_t maxValues = 50'000;
-constexpr std::size_t maxNameBytes = 128;
+namespace flamingowick::settings {
 
 enum class JsonKind : std::uint8_t {
     Null,
@@ -50,10 +43,12 @@
     JsonValue value;
 };
 
-// Parses JSON with comments. Returns nothing when the text is no JSON or is beyond a limit, with the
-// findings that say so. A repeated field is reported; its first value is kept. Linear in the length
-// of text; throws nothing but std::bad_alloc.
-std::optional<JsonValue> parseJson(std::string_view text, FindingList&);
+// Parses JSON with comments, within bounds on size, depth and number of values. The value is usable
+// when nothing was found. Linear in the length of text; throws nothing but std::bad_alloc.
+Checked<JsonValue> parseJsonText(std::string_view text);
+
+// Writes a value on one line. Throws nothing but std::bad_alloc.
+std::string compactJson(const JsonValue&);
 
 // Returns the member of that name, or null. Linear in the number of members; never throws.
 const JsonMember* findMember(const JsonValue&, std::string_view name) noexcept;
--- a/packages/settings/include/flamingowick/settings/detail/FieldReader.h
+++ b/packages/settings/include/flamingowick/settings/detail/FieldReader.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "flamingowick/model/Clock.h"
-#include "flamingowick/settings/detail/JsonValue.h"
+#include "flamingowick/settings/JsonValue.h"
+#include "flamingowick/settings/detail/FindingList.h"
 
 #include <span>
 #include <string>
--- a/packages/settings/include/flamingowick/settings/detail/ServiceDocumentChecks.h
+++ b/packages/settings/include/flamingowick/settings/detail/ServiceDocumentChecks.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "flamingowick/model/ServiceDocument.h"
-#include "flamingowick/settings/detail/JsonValue.h"
+#include "flamingowick/settings/JsonValue.h"
+#include "flamingowick/settings/detail/FindingList.h"
 
 // Checks between the fields of a service document.
 namespace flamingowick::settings::detail {
--- a/packages/settings/src/DaemonSettingsReader.cpp
+++ b/packages/settings/src/DaemonSettingsReader.cpp
@@ -1,5 +1,6 @@
 #include "flamingowick/settings/DaemonSettingsText.h"
 #include "flamingowick/settings/detail/FieldReader.h"
+#include "flamingowick/settings/detail/JsonParser.h"
 #include "flamingowick/settings/detail/TextRules.h"
 
 #include <set>
--- a/packages/settings/src/FieldReader.cpp
+++ b/packages/settings/src/FieldReader.cpp
@@ -1,5 +1,6 @@
 #include "flamingowick/settings/detail/FieldReader.h"
 
+#include "flamingowick/settings/detail/JsonParser.h"
 #include "flamingowick/settings/detail/NearestName.h"
 
 #include <algorithm>
--- a/packages/settings/src/JsonParser.cpp
+++ b/packages/settings/src/JsonParser.cpp
@@ -1,4 +1,4 @@
-#include "flamingowick/settings/detail/JsonValue.h"
+#include "flamingowick/settings/detail/JsonParser.h"
 
 #include <nlohmann/json.hpp>
 
@@ -258,3 +258,17 @@
 }
 
 }
+
+namespace flamingowick::settings {
+
+Checked<JsonValue> parseJsonText(std::string_view text)
+{
+    Checked<JsonValue> result;
+    detail::FindingList findings;
+    if (auto root = detail::parseJson(text, findings))
+        result.value = std::move(*root);
+    result.findings = detail::takeFindings(std::move(findings));
+    return result;
+}
+
+}
--- a/packages/settings/src/JsonValue.cpp
+++ b/packages/settings/src/JsonValue.cpp
@@ -1,9 +1,11 @@
-#include "flamingowick/settings/detail/JsonValue.h"
+#include "flamingowick/settings/JsonValue.h"
+
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <charconv>
 
-namespace flamingowick::settings::detail {
+namespace flamingowick::settings {
 
 namespace {
 
@@ -38,6 +40,31 @@
         return member ? &member->value : nullptr;
     }
 
+    nlohmann::ordered_json plainJson(const JsonValue& value)
+    {
+        switch (value.kind) {
+        case JsonKind::Null:
+            return nullptr;
+        case JsonKind::Boolean:
+            return value.boolean;
+        case JsonKind::Integer:
+            return value.integer;
+        case JsonKind::Real:
+            return value.real;
+        case JsonKind::String:
+            return value.string;
+        case JsonKind::Array:
+        case JsonKind::Object:
+            break;
+        }
+        auto json = value.kind == JsonKind::Array ? nlohmann::ordered_json::array() : nlohmann::ordered_json::object();
+        for (const JsonValue& item : value.items)
+            json.push_back(plainJson(item));
+        for (const JsonMember& member : value.members)
+            json[member.name] = plainJson(member.value);
+        return json;
+    }
+
 }
 
 const JsonMember* findMember(const JsonValue& object, std::string_view name) noexcept
@@ -75,4 +102,9 @@
     return value->line;
 }
 
+std::string compactJson(const JsonValue& value)
+{
+    return plainJson(value).dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
 }
--- a/packages/settings/tests/unit-mutation.cpp
+++ b/packages/settings/tests/unit-mutation.cpp
@@ -7,6 +7,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdlib>
 #include <random>
 
@@ -18,10 +19,10 @@
 constexpr std::uint64_t defaultSeed = 20261203;
 constexpr int rounds = 20'000;
 
-std::uint64_t seedFromEnvironment()
+std::uint64_t numberFromEnvironment(const char* name, std::uint64_t otherwise)
 {
-    const char* text = std::getenv("FLAMINGOWICK_SEED");
-    return text ? std::strtoull(text, nullptr, 10) : defaultSeed;
+    const char* text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : otherwise;
 }
 
 // Changes text at a few random places: bytes replaced, spans doubled or cut out, JSON marks put in.
@@ -61,12 +62,14 @@
 
 TEST(RandomTexts, neverCrashTheReadersAndKeepLinesInRange)
 {
-    std::mt19937_64 random(seedFromEnvironment());
+    using WallClock = std::chrono::steady_clock;
+    const auto end = WallClock::now() + std::chrono::seconds(numberFromEnvironment("FLAMINGOWICK_SECONDS", 0));
+    std::mt19937_64 random(numberFromEnvironment("FLAMINGOWICK_SEED", defaultSeed));
     std::vector<std::string> texts = { readExample("daemon.jsonc") };
     for (const std::string& name : serviceExamples())
         texts.push_back(readExample(name));
     int accepted = 0;
-    for (int round = 0; round < rounds; ++round) {
+    for (int round = 0; round < rounds || WallClock::now() < end; ++round) {
         const std::string text = mutate(texts[random() % texts.size()], random);
         const auto document = parseServiceDocument(text);
         const auto settings = parseDaemonSettings(text);
--- a/packages/settings/tests/unit-settings.cpp
+++ b/packages/settings/tests/unit-settings.cpp
@@ -3,6 +3,7 @@
 #include "flamingowick/settings/DaemonSettingsText.h"
 #include "flamingowick/settings/FindingNumber.h"
 #include "flamingowick/settings/FindingText.h"
+#include "flamingowick/settings/JsonValue.h"
 #include "flamingowick/settings/ServiceDocumentText.h"
 
 #include <CppUTest/TestHarness.h>
@@ -197,3 +198,15 @@
              "[1:2:3:4:5:6:7]:80", "[1::2::3]:80", "[::1]", "10.0.0.1:+80", "", "127.0.0.1:8080" })
         CHECK_EQUAL(1U, findingsFor(bad));
 }
+
+TEST_GROUP(LocatedJson) {};
+
+TEST(LocatedJson, findsValuesAndLinesByPointer)
+{
+    const auto parsed = parseJsonText("{\n\"a/b\": [1,\n2.5, \"x\"],\n\"c\": null }");
+    CHECK(parsed.accepted());
+    CHECK_EQUAL(3U, lineOf(parsed.value, "/a~1b/1"));
+    CHECK_EQUAL(4U, lineOf(parsed.value, "/c/missing"));
+    CHECK_EQUAL(2U, lineOf(parsed.value, "/a~1b/9"));
+    STRCMP_EQUAL("{\"a/b\":[1,2.5,\"x\"],\"c\":null}", compactJson(parsed.value).c_str());
+}
