--- a/packages/daemon/include/flamingowick/daemon/KeyService.h
+++ b/packages/daemon/include/flamingowick/daemon/KeyService.h
@@ -19,6 +19,9 @@
     std::function<void(const RequestId&, TimedAnswer)> answerCaller;
 };
 
+// Reads the wall clock between two readings of the steady clock. Never throws.
+keys::WallReading readWallClock();
+
 class KeyService {
 public:
     KeyService(CoreContext&, PlatformCalls&, KeyNeighbours, std::uint64_t secret);
--- a/packages/daemon/src/CoreMessages.cpp
+++ b/packages/daemon/src/CoreMessages.cpp
@@ -41,6 +41,7 @@
 
 void Core::receiveMessage(const peers::Envelope&, keys::KeyedRequest& message, TimePoint now)
 {
+    message.wall = readWallClock();
     this->keyService.handle(message, now);
 }
 
--- a/packages/daemon/src/KeyService.cpp
+++ b/packages/daemon/src/KeyService.cpp
@@ -38,6 +38,13 @@
 
 }
 
+keys::WallReading readWallClock()
+{
+    TimePoint before = Clock::now();
+    std::int64_t wallMs = wallClockMilliseconds();
+    return { wallMs, before, Clock::now() - before };
+}
+
 KeyService::KeyService(CoreContext& shared, PlatformCalls& platformCalls, KeyNeighbours roles, std::uint64_t secret)
     : context(shared)
     , calls(platformCalls)
@@ -90,7 +97,7 @@
         return;
     }
     keys::KeyedRequest local = action.message;
-    local.wallMs = wallClockMilliseconds();
+    local.wall = readWallClock();
     this->handle(local, now);
 }
 
@@ -239,7 +246,7 @@
 
 void KeyService::tick(TimePoint now)
 {
-    this->handle(keys::Tick { wallClockMilliseconds() }, now);
+    this->handle(keys::Tick { readWallClock() }, now);
     if (now < this->nextPlacement)
         return;
     this->nextPlacement = now + placementInterval;
--- a/packages/peers/include/flamingowick/peers/detail/WireKeys.h
+++ b/packages/peers/include/flamingowick/peers/detail/WireKeys.h
@@ -9,7 +9,8 @@
 namespace flamingowick::peers::detail {
 
 void toWire(const keys::KeyedRequest&, TimePoint now, wire::KeyedRequest&);
-keys::KeyedRequest fromWire(const wire::KeyedRequest&, TimePoint now, Duration underWay, std::int64_t wallMs);
+// The receiver's wall clock is left unset.
+keys::KeyedRequest fromWire(const wire::KeyedRequest&, TimePoint now, Duration underWay);
 
 void toWire(const KeyedAnswer&, wire::KeyedAnswer&);
 KeyedAnswer fromWire(const wire::KeyedAnswer&);
--- a/packages/peers/src/Codec.cpp
+++ b/packages/peers/src/Codec.cpp
@@ -109,11 +109,11 @@
     }
 
     // Reads the body of an envelope that is about keys, or nothing if it is about other things.
-    std::optional<Message> readKeyBody(const wire::Envelope& envelope, TimePoint now, Duration underWay, std::int64_t wallMs)
+    std::optional<Message> readKeyBody(const wire::Envelope& envelope, TimePoint now, Duration underWay)
     {
         switch (envelope.body_case()) {
         case wire::Envelope::kKeyedRequest:
-            return detail::fromWire(envelope.keyed_request(), now, underWay, wallMs);
+            return detail::fromWire(envelope.keyed_request(), now, underWay);
         case wire::Envelope::kKeyedAnswer:
             return detail::fromWire(envelope.keyed_answer());
         case wire::Envelope::kKeyedRefusal:
@@ -135,7 +135,7 @@
         }
     }
 
-    Message readBody(const wire::Envelope& envelope, TimePoint now, Duration underWay, std::int64_t wallMs)
+    Message readBody(const wire::Envelope& envelope, TimePoint now, Duration underWay)
     {
         if (envelope.has_forward_request())
             return readForward(envelope.forward_request(), now, underWay);
@@ -147,7 +147,7 @@
             return ForwardCancel { detail::fromWire(envelope.forward_cancel().id()), envelope.forward_cancel().attempt() };
         if (envelope.has_heartbeat())
             return Heartbeat { envelope.heartbeat().failure_domain() };
-        if (auto message = readKeyBody(envelope, now, underWay, wallMs))
+        if (auto message = readKeyBody(envelope, now, underWay))
             return std::move(*message);
         if (auto message = readTargetBody(envelope))
             return std::move(*message);
@@ -180,7 +180,7 @@
     envelope.fromAddress = wire.from_peer_address();
     envelope.toIncarnation = wire.to_incarnation();
     envelope.sentAtWallMs = wire.sent_at_wall_ms();
-    envelope.message = readBody(wire, now, underWay, wallMs);
+    envelope.message = readBody(wire, now, underWay);
     return envelope;
 }
 
--- a/packages/peers/src/detail/WireKeys.cpp
+++ b/packages/peers/src/detail/WireKeys.cpp
@@ -58,7 +58,7 @@
         wire.set_owner_stamp(message.ownerStamp->time_since_epoch().count());
 }
 
-keys::KeyedRequest fromWire(const wire::KeyedRequest& wire, TimePoint now, Duration underWay, std::int64_t wallMs)
+keys::KeyedRequest fromWire(const wire::KeyedRequest& wire, TimePoint now, Duration underWay)
 {
     keys::KeyedRequest message;
     message.request = fromWire(wire.request(), now, underWay);
@@ -67,7 +67,6 @@
     message.owner = fromWire(wire.owner());
     if (wire.has_owner_stamp())
         message.ownerStamp = TimePoint(Duration(wire.owner_stamp()));
-    message.wallMs = wallMs;
     return message;
 }
 
