--- a/packages/keys/include/flamingowick/keys/KeyMachine.h
+++ b/packages/keys/include/flamingowick/keys/KeyMachine.h
@@ -28,6 +28,8 @@
     // How long a refusal that says not-run may take from the owner to the caller. Until then the owner
     // lets no later attempt of the key run.
     Duration tellLimit { std::chrono::seconds(1) };
+    // How long an entry waits for the word of a new owner after the former has refused a request.
+    Duration handOverPatience { std::chrono::milliseconds(500) };
     // Pause between attempts at the store, and between sends of the entries.
     Duration retryInterval { std::chrono::seconds(1) };
     // Step of the wall clock against the steady one that is taken for a suspended machine.
@@ -105,7 +107,11 @@
     TimePoint acceptedAt;
     DaemonId forwardedTo;
     TimePoint forwardedAt;
+    // The epoch that the request was last forwarded under.
+    std::uint64_t epoch { 0 };
     unsigned forwards { 0 };
+    // Set while the owner has refused the request and a later one may still be heard of.
+    std::optional<TimePoint> waitUntil;
 };
 
 struct EntrySide {
--- a/packages/keys/src/EntrySide.cpp
+++ b/packages/keys/src/EntrySide.cpp
@@ -1,6 +1,7 @@
 #include "flamingowick/keys/KeyParser.h"
 #include "flamingowick/keys/detail/Parts.h"
 
+#include <limits>
 #include <vector>
 
 namespace flamingowick::keys::detail {
@@ -45,6 +46,8 @@
         }
         attempt.forwardedTo = owner;
         attempt.forwardedAt = context.now;
+        attempt.epoch = epoch;
+        attempt.waitUntil.reset();
         ++attempt.forwards;
         context.actions.emplace_back(Forward { { attempt.request, attempt.range, epoch, owner, stamp, {} } });
     }
@@ -59,11 +62,13 @@
         context.actions.emplace_back(ReadRecord { id });
     }
 
-    std::vector<RequestId> waitingFor(const State& state, const RangeId& id)
+    // Returns the requests that wait for an owner of the range with a later epoch than they know.
+    std::vector<RequestId> waitingFor(const State& state, const RangeId& id, std::uint64_t epoch)
     {
         std::vector<RequestId> waiting;
         for (const auto& [requestId, attempt] : state.entry.attempts) {
-            if (attempt.forwards == 0 && attempt.range == id)
+            bool open = attempt.forwards == 0 || attempt.waitUntil;
+            if (open && attempt.range == id && epoch > attempt.epoch)
                 waiting.push_back(requestId);
         }
         return waiting;
@@ -78,7 +83,7 @@
     RangeId range = rangeOf(request.service, request.idempotencyKey, context.state.limits.rangesPerService);
     if (issued)
         range.range = issuedRangeNumber;
-    auto [position, added] = entry.attempts.try_emplace(request.id, Attempt { request, range, context.now, {}, {}, 0 });
+    auto [position, added] = entry.attempts.try_emplace(request.id, Attempt { request, range, context.now, {}, {}, 0, 0, {} });
     if (!added)
         return;
     auto view = entry.views.find(range);
@@ -130,14 +135,14 @@
     if (record.epoch > view.epoch)
         view = record;
     entry.lookups.erase(record.id);
-    for (const RequestId& id : waitingFor(context.state, record.id))
+    for (const RequestId& id : waitingFor(context.state, record.id, view.epoch))
         forwardTo(context, entry.attempts.at(id), view.owner, view.epoch);
 }
 
 void noOwnerYet(Context& context, const RangeId& id)
 {
     context.state.entry.lookups.erase(id);
-    for (const RequestId& waiting : waitingFor(context.state, id))
+    for (const RequestId& waiting : waitingFor(context.state, id, std::numeric_limits<std::uint64_t>::max()))
         answerWithoutOwner(context, waiting, "the owner of the key is not known");
 }
 
@@ -168,15 +173,18 @@
     if (found == entry.attempts.end())
         return;
     Attempt& attempt = found->second;
+    bool issued = attempt.range.range == issuedRangeNumber;
+    if (issued || attempt.forwards >= maxForwards) {
+        answerWithoutOwner(context, event.id, "the owner of the key has changed");
+        return;
+    }
     auto view = entry.views.find(attempt.range);
-    bool elsewhere = view != entry.views.end() && view->second.owner != attempt.forwardedTo;
-    if (elsewhere && attempt.forwards < maxForwards) {
+    if (view != entry.views.end() && view->second.epoch > attempt.epoch) {
         forwardTo(context, attempt, view->second.owner, view->second.epoch);
         return;
     }
-    if (attempt.range.range != issuedRangeNumber)
-        lookUp(context, attempt.range);
-    answerWithoutOwner(context, event.id, "the owner of the key has changed");
+    attempt.waitUntil = context.now + context.state.limits.handOverPatience;
+    lookUp(context, attempt.range);
 }
 
 void peerUnreachable(Context& context, const RequestId& id)
@@ -193,7 +201,8 @@
 {
     std::vector<RequestId> late;
     for (const auto& [id, attempt] : context.state.entry.attempts) {
-        if (attempt.request.deadline <= context.now)
+        bool givenUp = attempt.waitUntil && *attempt.waitUntil <= context.now;
+        if (givenUp || attempt.request.deadline <= context.now)
             late.push_back(id);
     }
     for (const RequestId& id : late)
