--- a/packages/dispatch/tests/Ledger.cpp
+++ b/packages/dispatch/tests/Ledger.cpp
@@ -80,7 +80,7 @@
         ledger.demand(touched.size() <= 2, "a request that crashes targets was sent to a third");
     }
 
-    void checkStart(Ledger& ledger, const StartAttempt& start)
+    void checkStart(Ledger& ledger, const StartAttempt& start, TimePoint now)
     {
         LedgerEntry& entry = ledger.requests[start.id];
         ledger.demand(entry.finished == 0 && !entry.running, "an attempt starts out of turn");
@@ -96,6 +96,7 @@
         ++(entry.attempts == 1 ? ledger.coverage.firstAttempts : ledger.coverage.retries);
         ledger.demand(ledger.retriesStarted <= ledger.retriesEarned + 1e-3, "the retry budget is exceeded");
         ledger.demand(entry.attempts <= 3, "a request is attempted too often");
+        ledger.demand(ledger.refusedUntil[entry.ticket.digest] <= now, "a request that a peer has quarantined is sent");
         entry.running = start.target;
         entry.life = ledger.lives[start.target];
         checkDeadly(ledger, entry);
@@ -125,6 +126,10 @@
         bookStart(ledger, *proof);
     if (const auto* health = std::get_if<TargetHealth>(&event))
         bookHealth(ledger, *health);
+    if (const auto* report = std::get_if<CrashReport>(&event))
+        ledger.crashed[report->fingerprint].insert(report->target);
+    if (const auto* notice = std::get_if<QuarantineNotice>(&event))
+        ledger.refusedUntil[notice->fingerprint] = std::max(ledger.refusedUntil[notice->fingerprint], now + notice->remaining);
     if (const auto* update = std::get_if<UpdateDocument>(&event))
         ledger.document = update->document;
     if (const auto* grant = std::get_if<PeerGrant>(&event))
@@ -134,7 +139,7 @@
 void check(Ledger& ledger, const Action& action, TimePoint now)
 {
     if (const auto* start = std::get_if<StartAttempt>(&action))
-        checkStart(ledger, *start);
+        checkStart(ledger, *start, now);
     if (const auto* pass = std::get_if<PassAnswer>(&action)) {
         ++ledger.coverage.passed;
         checkFinal(ledger, pass->id, now);
--- a/packages/dispatch/tests/Ledger.h
+++ b/packages/dispatch/tests/Ledger.h
@@ -38,6 +38,8 @@
     std::set<TargetAddress> ejected;
     std::map<std::uint64_t, std::set<TargetAddress>> crashed;
     std::set<std::uint64_t> deadly;
+    // Until when peers have asked to refuse a digest.
+    std::map<std::uint64_t, TimePoint> refusedUntil;
     double retriesEarned { 0 };
     double retriesStarted { 0 };
     PeerGrant grant;
--- a/packages/dispatch/tests/World.cpp
+++ b/packages/dispatch/tests/World.cpp
@@ -122,7 +122,9 @@
         ticket.idempotent = chance(world, 60);
         ticket.deadline = world.now + milliseconds(pick(world, 0, 400));
         bool deadly = chance(world, 10);
-        ticket.digest = deadly ? static_cast<std::uint64_t>(pick(world, 1, 2)) : 1000 + world.counter;
+        bool popular = chance(world, 20);
+        std::uint64_t ordinary = popular ? static_cast<std::uint64_t>(pick(world, 3, 40)) : 1000 + world.counter;
+        ticket.digest = deadly ? static_cast<std::uint64_t>(pick(world, 1, 2)) : ordinary;
         if (chance(world, 30))
             ticket.keyDigest = 1000000 + ticket.digest;
         ticket.originDomain = "domain" + std::to_string(pick(world, 0, 2));
@@ -179,7 +181,7 @@
     void disturb(World& world)
     {
         TargetAddress address = "127.0.0." + std::to_string(pick(world, 0, 5)) + ":80";
-        switch (pick(world, 0, 6)) {
+        switch (pick(world, 0, 8)) {
         case 0:
             return deliver(world, UpdateDocument { drawDocument(world) });
         case 1:
@@ -189,6 +191,10 @@
         case 3:
         case 4:
             return changeTarget(world);
+        case 5:
+            return deliver(world, CrashReport { static_cast<std::uint64_t>(pick(world, 1, 40)), address });
+        case 6:
+            return deliver(world, QuarantineNotice { static_cast<std::uint64_t>(pick(world, 1, 40)), milliseconds(pick(world, 0, 300)) });
         default:
             return showList(world);
         }
