Let requests start that wait behind one that is held back

A suspect that waits for its other copy blocked all of its caller's requests; up to 8 may now stay behind.

--- a/packages/dispatch/include/flamingowick/dispatch/WaitQueue.h
+++ b/packages/dispatch/include/flamingowick/dispatch/WaitQueue.h
@@ -36,8 +36,9 @@
 // Takes out a request that waits. Linear in the caller's requests.
 void removeWaiting(WaitQueue&, std::string_view caller, const RequestId&);
 
-// Moves the caller's first request into flight and charges the expected slot time.
-void startFirst(WaitQueue&, std::string_view caller, Duration expected);
+// Moves the caller's request at position into flight and charges the expected slot time. Linear in
+// the position.
+void startWaiting(WaitQueue&, std::string_view caller, std::size_t position, Duration expected);
 
 // Counts an attempt of the caller out and corrects the charge from the expected to the real time.
 void endAttempt(WaitQueue&, std::string_view caller, Duration expected, Duration taken);
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr unsigned gatewayTimeout = 504;
+    // Requests of one caller that may stay behind while a later one starts.
+    constexpr std::size_t mostHeldBack = 8;
 
     bool hasRoom(const Step& step, const TargetState& target)
     {
@@ -56,7 +58,7 @@
         return value ^ (value >> 31U);
     }
 
-    void start(Step& step, const RequestId& id, const TargetAddress& target)
+    void start(Step& step, const RequestId& id, std::size_t position, const TargetAddress& target)
     {
         DispatcherState& state = step.state;
         ActiveRequest& request = state.requests.at(id);
@@ -69,7 +71,7 @@
         occupySlot(state.targets, target, state.document.targets, step.now);
         if (request.ticket.idempotent)
             creditTrials(state.targets);
-        startFirst(state.queue, request.ticket.caller, state.serviceTime.mean);
+        startWaiting(state.queue, request.ticket.caller, position, state.serviceTime.mean);
         for (std::uint64_t fingerprint : fingerprints(request.ticket))
             ++state.running[fingerprint];
         request.tried.push_back(target);
@@ -79,7 +81,7 @@
         step.actions.push_back(StartAttempt { id, target });
     }
 
-    bool startIfPossible(Step& step, const RequestId& id)
+    bool startIfPossible(Step& step, const RequestId& id, std::size_t position)
     {
         const ActiveRequest& request = step.state.requests.at(id);
         if (isHeldBack(step, request.ticket))
@@ -89,7 +91,7 @@
             return false;
         std::uint64_t random = nextRandom(step.state);
         std::size_t chosen = step.state.policy.chooseTarget(candidates, request.ticket.originDomain, random);
-        start(step, id, TargetAddress(candidates[chosen].address));
+        start(step, id, position, TargetAddress(candidates[chosen].address));
         return true;
     }
 
@@ -117,21 +119,34 @@
         return order;
     }
 
-    // Drops the caller's first requests that can't end in time. Returns whether one is left.
-    bool dropHopeless(Step& step, std::string_view caller)
+    // Returns the caller's waiting request at position, none when it has fewer.
+    std::optional<RequestId> waitingAt(const WaitQueue& queue, std::string_view caller, std::size_t position)
     {
-        auto& callers = step.state.queue.callers;
-        while (true) {
-            auto own = callers.find(caller);
-            if (own == callers.end() || own->second.waiting.empty())
+        auto own = queue.callers.find(caller);
+        if (own == queue.callers.end() || position >= own->second.waiting.size())
+            return std::nullopt;
+        return own->second.waiting[position].id;
+    }
+
+    // Starts the first of the caller's requests that can be placed, so that one that is held back does
+    // not block the rest. Drops those that can't end in time.
+    bool startOneOf(Step& step, std::string_view caller)
+    {
+        std::size_t position = 0;
+        while (position < mostHeldBack) {
+            auto id = waitingAt(step.state.queue, caller, position);
+            if (!id)
                 return false;
-            RequestId id = own->second.waiting.front().id;
-            TimePoint deadline = step.state.requests.at(id).ticket.deadline;
-            if (canFinish(step.state.serviceTime, step.now, deadline))
+            if (!canFinish(step.state.serviceTime, step.now, step.state.requests.at(*id).ticket.deadline)) {
+                recordHopeless(step.state.serviceTime);
+                finish(step, *id, FinishReason::DeadlineExceeded, gatewayTimeout, std::nullopt);
+                continue;
+            }
+            if (startIfPossible(step, *id, position))
                 return true;
-            recordHopeless(step.state.serviceTime);
-            finish(step, id, FinishReason::DeadlineExceeded, gatewayTimeout, std::nullopt);
+            ++position;
         }
+        return false;
     }
 
     bool startOne(Step& step)
@@ -140,10 +155,7 @@
         for (; !order.empty(); order.pop_back()) {
             std::pop_heap(order.begin(), order.end(), isServedLater);
             std::string caller = *order.back().second;
-            if (!dropHopeless(step, caller))
-                continue;
-            RequestId id = step.state.queue.callers.find(caller)->second.waiting.front().id;
-            if (startIfPossible(step, id))
+            if (startOneOf(step, caller))
                 return true;
         }
         return false;
--- a/packages/dispatch/src/WaitQueue.cpp
+++ b/packages/dispatch/src/WaitQueue.cpp
@@ -42,10 +42,10 @@
     forgetIdle(queue, caller);
 }
 
-void startFirst(WaitQueue& queue, std::string_view caller, Duration expected)
+void startWaiting(WaitQueue& queue, std::string_view caller, std::size_t position, Duration expected)
 {
     CallerQueue& own = queue.callers.find(caller)->second;
-    own.waiting.pop_front();
+    own.waiting.erase(own.waiting.begin() + static_cast<std::ptrdiff_t>(position));
     --queue.waiting;
     ++own.inFlight;
     queue.virtualTime = std::max(queue.virtualTime, own.virtualTime);
--- a/packages/dispatch/tests/unit-requests.cpp
+++ b/packages/dispatch/tests/unit-requests.cpp
@@ -162,6 +162,17 @@
     CHECK_FALSE(fixture.first<StartAttempt>());
 }
 
+TEST(Requests, BehindASuspectAreNotHeldUp)
+{
+    Fixture fixture;
+    fixture.send(CrashReport { 77, "t0" });
+    fixture.submit(true, "c", 77);
+    fixture.submit(true, "c", 77);
+    CHECK_FALSE(fixture.first<StartAttempt>());
+    RequestId other = fixture.submit(true, "c", 78);
+    CHECK(fixture.first<StartAttempt>()->id == other);
+}
+
 TEST(Requests, ThatRanTogetherWhenATargetCrashedCountOnce)
 {
     Fixture fixture({}, 1);
