--- a/packages/health/include/flamingowick/health/Events.h
+++ b/packages/health/include/flamingowick/health/Events.h
@@ -55,6 +55,7 @@
 // An error, observed before, that is the fault of a request that crashes targets.
 struct CrashExcluded {
     TargetAddress target;
+    // The daemon that handles the event; counters of others are only merged.
     ObserverId observer;
     TimePoint observedAt {};
 };
--- a/packages/health/include/flamingowick/health/Evidence.h
+++ b/packages/health/include/flamingowick/health/Evidence.h
@@ -48,6 +48,8 @@
 struct Ring {
     Duration width;
     std::vector<Bucket> buckets;
+    // The greatest index in use, -1 when there is none.
+    std::int64_t newest { -1 };
 };
 
 constexpr Duration fineWidth = std::chrono::milliseconds(250);
@@ -61,8 +63,8 @@
 // The same outcomes at two resolutions: the fine ring serves busy targets, the coarse one remembers
 // long enough for targets with little traffic and for rare errors.
 struct Rings {
-    Ring fine { fineWidth, std::vector<Bucket>(fineBuckets) };
-    Ring coarse { coarseWidth, std::vector<Bucket>(coarseBuckets) };
+    Ring fine { fineWidth, std::vector<Bucket>(fineBuckets), -1 };
+    Ring coarse { coarseWidth, std::vector<Bucket>(coarseBuckets), -1 };
 };
 
 // Who saw an outcome. A restarted daemon is another observer.
@@ -105,9 +107,10 @@
 // Adds counters of the observer at a time. O(log observers); may throw std::bad_alloc.
 void addCounts(TargetEvidence&, const ObserverId&, TimePoint, const Counts& added);
 
-// Merges another copy of an observer's counters. Buckets outside the window that ends at now plus
-// clockTolerance are left out. O(buckets); may throw std::bad_alloc.
-void mergeCounters(TargetEvidence&, const ObserverId&, const TargetCounters&, TimePoint now);
+// Merges another copy of an observer's counters and returns what it added to the fine buckets or the
+// coarse ones, whichever is more. Buckets outside the window that ends at now plus clockTolerance are
+// left out. O(buckets); may throw std::bad_alloc.
+Counts mergeCounters(TargetEvidence&, const ObserverId&, const TargetCounters&, TimePoint now);
 
 // Returns the observer's counters of a target from a time on, unused buckets left out. O(buckets).
 TargetCounters countersSince(std::string_view target, const Rings&, TimePoint since);
--- a/packages/health/src/Decisions.cpp
+++ b/packages/health/src/Decisions.cpp
@@ -8,7 +8,7 @@
 {
     if (sharesOfOthers.empty())
         return 0;
-    const auto middle = sharesOfOthers.begin() + static_cast<std::ptrdiff_t>((sharesOfOthers.size() - 1) / 2);
+    const auto middle = sharesOfOthers.begin() + static_cast<std::ptrdiff_t>(sharesOfOthers.size() / 2);
     std::nth_element(sharesOfOthers.begin(), middle, sharesOfOthers.end());
     return *middle;
 }
@@ -20,6 +20,14 @@
 
 namespace {
 
+    // A failure domain counts as using a target for this long after its last request.
+    constexpr Duration activeSpan = std::chrono::seconds(10);
+
+    bool isActive(const Rings& rings, TimePoint now) noexcept
+    {
+        return rings.fine.newest >= bucketIndex(now - activeSpan, fineWidth);
+    }
+
     // The test whether another failure domain sees the target fail as the accusing one does.
     SequentialTest failingAlike(const Verdict& verdict) noexcept
     {
@@ -32,16 +40,22 @@
 
 }
 
-bool blamesPath(const TargetEvidence& evidence, std::string_view fromFailureDomain, const Verdict& verdict, double clearEvidence) noexcept
+Blame placeBlame(const TargetEvidence& evidence, const Accusation& accusation, const Thresholds& thresholds, TimePoint now) noexcept
 {
-    const auto isCoarse = verdict.score.width == coarseWidth;
-    const auto test = failingAlike(verdict);
-    return std::any_of(evidence.byFailureDomain.begin(), evidence.byFailureDomain.end(), [&](const auto& entry) {
-        if (entry.first == fromFailureDomain)
-            return false;
-        const auto& ring = isCoarse ? entry.second.coarse : entry.second.fine;
-        return logLikelihoodRatio(ring, test, verdict.score.since) <= -clearEvidence;
-    });
+    const auto test = failingAlike(accusation.verdict);
+    const auto& score = accusation.verdict.score;
+    auto blame = Blame::Target;
+    for (const auto& [domain, rings] : evidence.byFailureDomain) {
+        if (domain == accusation.fromFailureDomain)
+            continue;
+        const auto& ring = score.width == coarseWidth ? rings.coarse : rings.fine;
+        const auto ratio = logLikelihoodRatio(ring, test, score.since);
+        if (ratio <= -thresholds.clear)
+            return Blame::Path;
+        if (ratio <= 0 && isActive(rings, now))
+            blame = Blame::Undecided;
+    }
+    return score.value < thresholds.ceiling ? blame : Blame::Target;
 }
 
 }
--- a/packages/health/src/Evidence.cpp
+++ b/packages/health/src/Evidence.cpp
@@ -19,6 +19,7 @@
             return nullptr;
         if (bucket.index < index)
             bucket = Bucket { index, {} };
+        ring.newest = std::max(ring.newest, index);
         return &bucket;
     }
 
@@ -70,25 +71,33 @@
         Ring& pooled;
     };
 
-    void mergeBucket(const RingSet& rings, const Bucket& incoming, TimePoint now) noexcept
+    // Returns the counters that were new.
+    Counts mergeBucket(const RingSet& rings, const Bucket& incoming, TimePoint now) noexcept
     {
         if (!insideWindow(rings.own, incoming.index, now))
-            return;
+            return {};
         auto* own = claim(rings.own, incoming.index);
         if (!own)
-            return;
+            return {};
         const auto merged = greaterOfEach(own->counts, incoming.counts);
         const auto added = difference(merged, own->counts);
         own->counts = merged;
         addAt(rings.domain, incoming.index, added);
         addAt(rings.pooled, incoming.index, added);
+        return added;
+    }
+
+    Counts mergeBuckets(const RingSet& rings, std::span<const Bucket> incoming, TimePoint now) noexcept
+    {
+        Counts sum;
+        for (const auto& bucket : incoming)
+            add(sum, mergeBucket(rings, bucket, now));
+        return sum;
     }
 
     bool isStaleRing(const Ring& ring, TimePoint now) noexcept
     {
-        return std::none_of(ring.buckets.begin(), ring.buckets.end(), [&](const Bucket& bucket) {
-            return bucket.index >= 0 && insideWindow(ring, bucket.index, now);
-        });
+        return !insideWindow(ring, ring.newest, now);
     }
 
     std::vector<Bucket> bucketsSince(const Ring& ring, TimePoint since)
@@ -129,16 +138,15 @@
     }
 }
 
-void mergeCounters(TargetEvidence& evidence, const ObserverId& observer, const TargetCounters& counters, TimePoint now)
+Counts mergeCounters(TargetEvidence& evidence, const ObserverId& observer, const TargetCounters& counters, TimePoint now)
 {
     auto& own = evidence.byObserver[observer];
     auto& domain = evidence.byFailureDomain[observer.failureDomain];
     const RingSet fine { own.fine, domain.fine, evidence.pooled.fine };
     const RingSet coarse { own.coarse, domain.coarse, evidence.pooled.coarse };
-    for (const auto& bucket : counters.fine)
-        mergeBucket(fine, bucket, now);
-    for (const auto& bucket : counters.coarse)
-        mergeBucket(coarse, bucket, now);
+    const auto addedFine = mergeBuckets(fine, counters.fine, now);
+    const auto addedCoarse = mergeBuckets(coarse, counters.coarse, now);
+    return greaterOfEach(addedFine, addedCoarse);
 }
 
 TargetCounters countersSince(std::string_view target, const Rings& rings, TimePoint since)
--- a/packages/health/src/Health.cpp
+++ b/packages/health/src/Health.cpp
@@ -163,17 +163,31 @@
             found->second = EjectionRecord(state.decisions.join(found->second, incoming.record));
     }
 
+    // Takes in a peer's counters; returns the targets of which they tell something bad.
+    std::vector<TargetAddress> mergeSummary(HealthState& state, const PooledSummary& summary, TimePoint now)
+    {
+        std::vector<TargetAddress> worsened;
+        for (const auto& counters : summary.counters) {
+            const auto added = state.decisions.merge(state.evidence[counters.target], summary.observer, counters, now);
+            if (added.errors || added.slow)
+                worsened.push_back(counters.target);
+        }
+        return worsened;
+    }
+
     void visit(HealthState& state, const PooledSummary& summary, TimePoint now, std::vector<Action>& actions)
     {
         for (const auto& record : summary.records) {
             if (isPlausible(record.record, now) && !isSpent(record.record, state.policy, now))
                 mergeRecord(state, record);
         }
+        const auto worsened = mergeSummary(state, summary, now);
+        if (!worsened.empty())
+            noteSharedCause(state, now, actions);
+        for (const auto& target : worsened)
+            detail::judge(state, target, now);
         for (const auto& counters : summary.counters)
-            state.decisions.merge(state.evidence[counters.target], summary.observer, counters, now);
-        noteSharedCause(state, now, actions);
-        for (const auto& counters : summary.counters)
-            weighTarget(state, counters.target, now);
+            detail::advanceTrickle(state, counters.target, now);
         refresh(state, now, actions);
     }
 
--- a/packages/health/src/Judgement.cpp
+++ b/packages/health/src/Judgement.cpp
@@ -17,6 +17,11 @@
     // A bad probe or load report makes failing ten times as likely beforehand.
     const double suspicionBonus = std::log(10.0);
     constexpr double slownessSeverity = 0.5;
+    // One chance in a hundred that a sick pool is taken for healthy, by Wald's bound.
+    const double poolClearEvidence = std::log(100.0);
+    // How far above the threshold a score suffices although the rest of the pool has not shown itself
+    // healthy meanwhile. No more than the ceiling's ratio.
+    constexpr double withoutPoolEvidence = 1.45;
 
     // The first bucket that begins at a time or later.
     std::int64_t firstBucket(TimePoint from, Duration width) noexcept
@@ -60,21 +65,49 @@
         return false;
     }
 
-    // The pool's typical bad share in the span that a score covers.
-    double shareOfOthers(const HealthState& state, std::string_view accused, Symptom symptom, const Score& score)
+    // The pool's typical bad share from a bucket on, without the accused.
+    double shareOfOthers(const HealthState& state, std::string_view accused, Symptom symptom, Duration width, std::int64_t from)
     {
         std::vector<double> shares;
         for (const auto& [address, listed] : state.targets) {
             const auto found = state.evidence.find(address);
             if (address == accused || found == state.evidence.end())
                 continue;
-            const auto sums = tally(ringOf(found->second.pooled, score.width), symptom, score.since);
+            const auto sums = tally(ringOf(found->second.pooled, width), symptom, from);
             if (sums.total >= leastOutcomes)
                 shares.push_back(static_cast<double>(sums.bad) / sums.total);
         }
         return state.decisions.typical(shares);
     }
 
+    // The test against the pool as it was in the span that a score covers or of late, whichever is
+    // worse: the former notices a fault that has just begun, the latter is the steadier estimate.
+    SequentialTest testAgainstPool(const HealthState& state, std::string_view accused, const SequentialTest& test, const Score& score, TimePoint now)
+    {
+        const auto recent = firstBucket(now - observedSpan, score.width);
+        const auto since = shareOfOthers(state, accused, test.symptom, score.width, score.since);
+        const auto late = shareOfOthers(state, accused, test.symptom, score.width, recent);
+        return relativeTo(test, std::max(since, late));
+    }
+
+    // Returns true when the rest of the pool has shown itself healthy in the span of a score. A few sick
+    // targets count for one bad outcome each, so that they can't hide another.
+    bool isPoolHealthySince(const HealthState& state, std::string_view accused, const SequentialTest& test, const Score& score)
+    {
+        const auto tests = testsFor(state.policy);
+        const auto& clear = test.symptom == Symptom::Slowness ? tests.back() : tests.front();
+        const auto oneBad = std::log(clear.failingShare / clear.healthyShare);
+        double sum = 0;
+        for (const auto& [address, listed] : state.targets) {
+            const auto found = state.evidence.find(address);
+            if (address == accused || found == state.evidence.end())
+                continue;
+            const auto& ring = ringOf(found->second.pooled, score.width);
+            sum += std::min(logLikelihoodRatio(ring, clear, score.since), oneBad);
+        }
+        return sum <= -poolClearEvidence;
+    }
+
     // Weighs one scope's evidence by one test in one ring: alone first, then against the pool.
     std::optional<Verdict> weigh(const HealthState& state, const Scope& scope, const Ring& ring, const SequentialTest& test, TimePoint now)
     {
@@ -84,10 +117,12 @@
         const auto alone = cusum(ring, test, from, thresholds);
         if (alone.value < threshold)
             return std::nullopt;
-        const auto relative = relativeTo(test, shareOfOthers(state, scope.target, test.symptom, alone));
+        const auto relative = testAgainstPool(state, scope.target, test, alone, now);
         const auto score = cusum(ring, relative, from, thresholds);
         if (score.value < threshold)
             return std::nullopt;
+        if (score.value < threshold * withoutPoolEvidence && !isPoolHealthySince(state, scope.target, test, alone))
+            return std::nullopt;
         return Verdict { relative, score, threshold };
     }
 
@@ -135,26 +170,62 @@
         record.changedAt = now;
     }
 
-    // Judges by what each failure domain has seen; returns true when the target was ejected everywhere.
+    // Judges by what one failure domain has seen; returns true when the target needs no further
+    // judgement for now.
+    bool judgeDomain(HealthState& state, const Scope& scope, const TargetEvidence& evidence, TimePoint now)
+    {
+        const auto verdict = verdictOn(state, scope, now);
+        if (!verdict)
+            return false;
+        const Accusation accusation { scope.fromFailureDomain, *verdict };
+        switch (state.decisions.blame(evidence, accusation, thresholdsFor(state.policy), now)) {
+        case Blame::Path:
+            eject(state, scope, *verdict, now);
+            return false;
+        case Blame::Target:
+            eject(state, { scope.target, "" }, *verdict, now);
+            return true;
+        case Blame::Undecided:
+            return true;
+        }
+        return true;
+    }
+
     bool judgeDomains(HealthState& state, std::string_view target, const TargetEvidence& evidence, TimePoint now)
     {
-        const auto clearEvidence = thresholdsFor(state.policy).clear;
         for (const auto& [domain, rings] : evidence.byFailureDomain) {
             const Scope scope { TargetAddress(target), domain };
             if (recordStanding(state, scope, now) == Standing::Ejected)
                 continue;
-            const auto verdict = verdictOn(state, scope, now);
-            if (!verdict)
-                continue;
-            if (!state.decisions.path(evidence, domain, *verdict, clearEvidence)) {
-                eject(state, { scope.target, "" }, *verdict, now);
+            if (judgeDomain(state, scope, evidence, now))
                 return true;
-            }
-            eject(state, scope, *verdict, now);
         }
         return false;
     }
 
+    // The share of bad outcomes that one failure domain has seen in the span of a verdict.
+    double shareIn(const Rings& rings, const Verdict& verdict)
+    {
+        const auto sums = tally(ringOf(rings, verdict.score.width), verdict.test.symptom, verdict.score.since);
+        return sums.total ? static_cast<double>(sums.bad) / sums.total : 0;
+    }
+
+    // Returns true unless the pooled verdict may rest on one failure domain alone. That domain's own
+    // evidence then decides, or that of the others once they have seen enough.
+    bool isPooledFault(const HealthState& state, const TargetEvidence& evidence, const Verdict& verdict, TimePoint now)
+    {
+        if (evidence.byFailureDomain.size() < 2)
+            return true;
+        const auto worst = std::max_element(evidence.byFailureDomain.begin(), evidence.byFailureDomain.end(), [&](const auto& a, const auto& b) {
+            return shareIn(a.second, verdict) < shareIn(b.second, verdict);
+        });
+        auto accusation = Accusation { worst->first, verdict };
+        const auto sums = tally(ringOf(worst->second, verdict.score.width), verdict.test.symptom, verdict.score.since);
+        accusation.verdict.score.bad = sums.bad;
+        accusation.verdict.score.total = sums.total;
+        return state.decisions.blame(evidence, accusation, thresholdsFor(state.policy), now) == Blame::Target;
+    }
+
     bool isCleared(const HealthState& state, const Rings& rings, TimePoint from, Duration width)
     {
         const auto clearEvidence = thresholdsFor(state.policy).clear;
@@ -261,7 +332,8 @@
         return;
     if (hasPathRestriction(state, target, now))
         return;
-    if (const auto verdict = verdictOn(state, everywhere, now))
+    const auto verdict = verdictOn(state, everywhere, now);
+    if (verdict && isPooledFault(state, evidence, *verdict, now))
         eject(state, everywhere, *verdict, now);
 }
 
--- a/packages/health/src/SequentialTest.cpp
+++ b/packages/health/src/SequentialTest.cpp
@@ -55,19 +55,18 @@
         return sample.bad * weights.bad + (sample.total - sample.bad) * weights.good;
     }
 
-    // Calls visit(index, counts) for the ring's buckets from an index on, oldest first.
+    // Calls visit(index, counts) for the ring's buckets with any outcomes from an index on, oldest first.
     template <typename Visit>
     void forEachBucket(const Ring& ring, std::int64_t from, Visit visit)
     {
-        std::int64_t newest = -1;
-        for (const auto& bucket : ring.buckets)
-            newest = std::max(newest, bucket.index);
-        if (newest < 0)
-            return;
         const auto size = static_cast<std::int64_t>(ring.buckets.size());
-        for (auto index = std::max(from, newest - size + 1); index <= newest; ++index) {
-            if (index >= 0)
-                visit(index, countsAt(ring, index));
+        auto index = std::max({ from, ring.newest - size + 1, std::int64_t { 0 } });
+        auto position = static_cast<std::size_t>(index % size);
+        for (; index <= ring.newest; ++index) {
+            const auto& bucket = ring.buckets[position];
+            if (bucket.index == index && bucket.counts.total)
+                visit(index, bucket.counts);
+            position = position + 1 == ring.buckets.size() ? 0 : position + 1;
         }
     }
 
