--- a/packages/configuration/include/flamingowick/configuration/State.h
+++ b/packages/configuration/include/flamingowick/configuration/State.h
@@ -67,7 +67,9 @@
     TimePoint lastTick;
     RandomSource random;
 
-    std::vector<Member> members;
+    // The other live daemons: those in the own failure domain, and all.
+    std::vector<std::string> localPeers;
+    std::vector<std::string> peers;
     std::vector<std::string> watchers;
     bool watching { false };
     // The store was listed, and the watch has not broken off since.
--- a/packages/configuration/src/Spread.cpp
+++ b/packages/configuration/src/Spread.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <span>
 #include <utility>
 
 namespace flamingowick::configuration::detail {
@@ -13,26 +14,15 @@
         context.actions.emplace_back(SendMessage { to, std::move(message) });
     }
 
-    // Returns the peers in the own failure domain, or all peers.
-    std::vector<std::string> peersOf(const State& state, bool localOnly)
+    // Adds up to count peers drawn at random; one that is drawn twice counts once.
+    void addRandomPeers(RandomSource& random, std::span<const std::string> peers, std::size_t count, std::set<std::string>& chosen)
     {
-        std::vector<std::string> peers;
-        for (const Member& member : state.members) {
-            const bool wanted = !localOnly || member.failureDomain == state.failureDomain;
-            if (wanted && member.vm != state.vm)
-                peers.push_back(member.vm);
-        }
-        return peers;
-    }
-
-    void addRandomPeers(RandomSource& random, std::vector<std::string> peers, std::size_t count, std::set<std::string>& chosen)
-    {
-        for (; count > 0 && !peers.empty(); --count) {
-            const std::size_t index = randomBelow(random, peers.size());
-            std::swap(peers[index], peers.back());
-            chosen.insert(std::move(peers.back()));
-            peers.pop_back();
+        if (peers.size() <= count) {
+            chosen.insert(peers.begin(), peers.end());
+            return;
         }
+        for (; count > 0; --count)
+            chosen.insert(peers[randomBelow(random, peers.size())]);
     }
 
     // Asks a peer for those of its documents that are newer than the own.
@@ -119,8 +109,8 @@
         return;
     State& state = context.state;
     std::set<std::string> chosen;
-    addRandomPeers(state.random, peersOf(state, true), context.policy.limits.localFanout, chosen);
-    addRandomPeers(state.random, peersOf(state, false), context.policy.limits.remoteFanout, chosen);
+    addRandomPeers(state.random, state.localPeers, context.policy.limits.localFanout, chosen);
+    addRandomPeers(state.random, state.peers, context.policy.limits.remoteFanout, chosen);
     // The rest of a long list is left to the digest exchange.
     if (context.learned.size() > maxMessageEntries)
         context.learned.resize(maxMessageEntries);
@@ -214,11 +204,10 @@
     const Duration period = state.ready ? timing.digestPeriod : timing.bootDigestPeriod;
     if (!context.policy.digestDue(state.lastDigest, period, context.now))
         return;
-    const std::vector<std::string> peers = peersOf(state, false);
-    if (peers.empty())
+    if (state.peers.empty())
         return;
     state.lastDigest = context.now;
-    const std::string& peer = peers[randomBelow(state.random, peers.size())];
+    const std::string& peer = state.peers[randomBelow(state.random, state.peers.size())];
     const std::uint64_t exchange = ++state.lastExchange;
     state.exchanges[exchange] = { peer, context.now };
     send(context, peer, DigestSummary { exchange, state.digest.root, state.ready, false });
--- a/packages/configuration/src/StateMachine.cpp
+++ b/packages/configuration/src/StateMachine.cpp
@@ -79,11 +79,17 @@
         void onEvent(Context& context, const MembersChanged& event)
         {
             State& state = context.state;
-            state.members = event.members;
-            state.watchers = watchersOf(state.members);
-            std::set<std::string_view> live;
-            for (const Member& member : state.members)
-                live.insert(member.vm);
+            state.watchers = watchersOf(event.members);
+            state.localPeers.clear();
+            state.peers.clear();
+            for (const Member& member : event.members) {
+                if (member.vm == state.vm)
+                    continue;
+                state.peers.push_back(member.vm);
+                if (member.failureDomain == state.failureDomain)
+                    state.localPeers.push_back(member.vm);
+            }
+            const std::set<std::string_view> live(state.peers.begin(), state.peers.end());
             std::erase_if(state.verdicts, [&](const auto& entry) { return !live.contains(entry.first); });
             updateRole(context);
         }
