configuration: put history and status together, and show them

What an operator's tool needs: the whole audit trail with its gaps found, the status over all failure domains, and both with the diff as text. The check of audit trails in the schedules now uses the shipped function, which has a test of its own for missing entries and archives.

--- a/packages/configuration/src/StoreText.cpp
+++ b/packages/configuration/src/StoreText.cpp
@@ -1,5 +1,7 @@
 #include "flamingowick/configuration/StoreText.h"
 
+#include "flamingowick/configuration/FleetStatus.h"
+
 #include <nlohmann/json.hpp>
 
 namespace flamingowick::configuration {
@@ -98,6 +100,39 @@
         return archive;
     }
 
+    Json statusListJson(const std::vector<ServiceStatus>& services)
+    {
+        Json list = Json::array();
+        for (const ServiceStatus& status : services) {
+            Json json;
+            json["service"] = status.service;
+            json["version"] = status.version;
+            json["deleted"] = status.deleted;
+            json["daemons"] = status.daemons;
+            json["inForce"] = status.inForce;
+            list.push_back(std::move(json));
+        }
+        return list;
+    }
+
+    DomainStatus readStatus(const Json& json)
+    {
+        DomainStatus status;
+        json.at("failureDomain").get_to(status.failureDomain);
+        json.at("writtenMs").get_to(status.writtenMs);
+        json.at("shard").get_to(status.object.shard);
+        for (const Json& entry : json.at("services")) {
+            ServiceStatus service;
+            entry.at("service").get_to(service.service);
+            entry.at("version").get_to(service.version);
+            entry.at("deleted").get_to(service.deleted);
+            entry.at("daemons").get_to(service.daemons);
+            entry.at("inForce").get_to(service.inForce);
+            status.object.services.push_back(std::move(service));
+        }
+        return status;
+    }
+
     template <typename Value>
     Checked<Value> readObject(std::string_view text, Value (*read)(const Json&))
     {
@@ -145,4 +180,19 @@
     return readObject<AuditArchive>(text, readArchive);
 }
 
+std::string domainStatusJson(const DomainStatus& status)
+{
+    Json json;
+    json["failureDomain"] = status.failureDomain;
+    json["writtenMs"] = status.writtenMs;
+    json["shard"] = status.object.shard;
+    json["services"] = statusListJson(status.object.services);
+    return dump(json);
+}
+
+Checked<DomainStatus> parseDomainStatus(std::string_view text)
+{
+    return readObject<DomainStatus>(text, readStatus);
+}
+
 }
--- a/packages/configuration/tests/FakeFleet.cpp
+++ b/packages/configuration/tests/FakeFleet.cpp
@@ -1,5 +1,6 @@
 #include "FakeFleet.h"
 
+#include "flamingowick/configuration/AuditTrail.h"
 #include "flamingowick/model/Error.h"
 
 #include <algorithm>
@@ -462,22 +463,13 @@
     for (const auto& [service, history] : this->store.accepted) {
         if (history.empty())
             continue;
-        std::vector<AuditEntry> entries;
-        const AcceptedDocument& document = history.back().document;
-        for (std::uint64_t segment = 0; segment < document.archivedEntries / auditSegment; ++segment) {
-            const AuditArchive& archive = this->store.archives[{ service, segment }];
-            entries.insert(entries.end(), archive.entries.begin(), archive.entries.end());
+        std::vector<AuditArchive> archives;
+        for (const auto& [place, archive] : this->store.archives) {
+            if (place.first == service)
+                archives.push_back(archive);
         }
-        entries.insert(entries.end(), document.audit.begin(), document.audit.end());
-        std::uint64_t version = 0;
-        std::uint64_t revision = 0;
-        for (const AuditEntry& entry : entries) {
-            this->require(entry.revision > revision, "audit entries are out of order");
-            this->require(entry.fromVersion == version && entry.toVersion == version + (entry.accepted ? 1 : 0), "an accepted version isn't in the audit trail exactly once");
-            revision = entry.revision;
-            version = entry.toVersion;
-        }
-        this->require(version == document.version, "the audit trail doesn't reach the version in force");
+        const auto trail = auditTrail(history.back().document, archives);
+        this->require(trail.accepted(), "an accepted version isn't in the audit trail exactly once");
     }
 }
 
--- a/packages/configuration/tests/unit-documents.cpp
+++ b/packages/configuration/tests/unit-documents.cpp
@@ -1,6 +1,7 @@
 #include "FakeFleet.h"
 
-#include "flamingowick/configuration/DocumentDiff.h"
+#include "flamingowick/configuration/AuditTrail.h"
+#include "flamingowick/configuration/OperatorText.h"
 #include "flamingowick/configuration/StoreText.h"
 
 #include <CppUTest/TestHarness.h>
@@ -181,3 +182,22 @@
     CHECK(diff.value.empty());
     CHECK(hasConflict(diffDocuments("1", "2", "3").value));
 }
+
+TEST(DocumentDiff, isShownWithTheValuesThatDiffer)
+{
+    const auto diff = diffDocuments(R"({ "a": 1, "b": 1 })", R"({ "a": 2, "b": 1 })", R"({ "a": 3 })");
+    STRCMP_EQUAL("CONFLICT /a\n    base: 1\n    mine: 2\n    theirs: 3\ntheirs /b\n    base: 1\n    theirs: (absent)\n", renderChanges(diff.value).c_str());
+}
+
+TEST(Acceptance, showsItsHistoryAndTheGapsInIt)
+{
+    AcceptedDocument document = decide(this->first, makeSource("8", "parts 2 broken"));
+    STRCMP_EQUAL("1970-01-01 00:00:01.000  amal  version 0 -> 1  vm/1/1\n"
+                 "1970-01-01 00:00:01.000  amal  refused, version 1 stays  vm/1/1\n    line 1 : broken\n",
+        renderAudit(auditTrail(document, {}).value).c_str());
+    CHECK(auditTrail(document, {}).accepted());
+    document.audit.erase(document.audit.begin());
+    CHECK(!auditTrail(document, {}).accepted());
+    this->first.archivedEntries = auditSegment;
+    CHECK_EQUAL(auditGapNumber, auditTrail(this->first, {}).findings.front().number);
+}
--- a/packages/configuration/tests/unit-status.cpp
+++ b/packages/configuration/tests/unit-status.cpp
@@ -1,4 +1,5 @@
-#include "flamingowick/configuration/StatusTally.h"
+#include "flamingowick/configuration/FleetStatus.h"
+#include "flamingowick/configuration/OperatorText.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -112,3 +113,25 @@
     }
     CHECK(writes <= 21);
 }
+
+TEST_GROUP(FleetStatus)
+{
+    DomainStatus first { "a", 2000, { 3, { { "doors", 1, true, 5, 5 }, { "parts", 4, false, 5, 4 } } } };
+    DomainStatus second { "b", 3000, { 3, { { "parts", 3, false, 6, 6 } } } };
+};
+
+TEST(FleetStatus, countsOnlyTheNewestVersionAsInForce)
+{
+    const DomainStatus outdated { "a", 1000, { 3, { { "parts", 9, false, 9, 9 } } } };
+    const std::vector<DomainStatus> objects { this->second, outdated, this->first };
+    STRCMP_EQUAL("doors  version 1 (withdrawn)  in force on 5 of 5\n"
+                 "parts  version 4  in force on 4 of 11  behind: b\n",
+        renderStatus(combineStatus(objects)).c_str());
+    CHECK_EQUAL(2000, combineStatus(objects).back().asOfMs);
+}
+
+TEST(FleetStatus, readsBackWhatItWritesToTheStore)
+{
+    CHECK(parseDomainStatus(domainStatusJson(this->first)).value == this->first);
+    CHECK(!parseDomainStatus("{}").accepted());
+}
