Let stand-in targets keep to the deadline that a request names

The platform's targets accept deadlines, so the stand-ins break a run off at the time that X-Timeout-Ms gives and never start one after it.

--- a/packages/standins/include/flamingowick/standins/StandinTargets.h
+++ b/packages/standins/include/flamingowick/standins/StandinTargets.h
@@ -65,7 +65,7 @@
     // Still running.
     Open,
     Answered,
-    // Answered with status 500.
+    // Answered with status 500, or with 504 at the deadline that the request named.
     Failed,
     // Run to its end with no answer sent: the target is one-way or the caller was gone.
     Unanswered,
@@ -100,6 +100,9 @@
     unsigned maxConnections { 0 };
 };
 
+// A request that names its deadline by the header X-Timeout-Ms is broken off with 504 when it comes; one
+// that still waits for a slot then gets 503 with "X-Not-Run: deadline".
+//
 // Serves all targets from one thread until destroyed. Members may be called from any thread.
 // Each target answers /healthz, /control and /control/ledger besides its own paths; a control port
 // answers the last two for any target by "?port=", also while that one is frozen.
--- a/packages/standins/src/TargetService.cpp
+++ b/packages/standins/src/TargetService.cpp
@@ -3,6 +3,7 @@
 #include "flamingowick/standins/detail/TargetJson.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 
 namespace flamingowick::standins {
@@ -14,10 +15,22 @@
 
     constexpr unsigned statusInternalError = 500;
     constexpr unsigned statusUnavailable = 503;
+    constexpr unsigned statusGatewayTimeout = 504;
     constexpr std::chrono::milliseconds frozenRetry { 5 };
 
     HttpAnswer answerWith(unsigned status, std::string body) { return { status, {}, std::move(body) }; }
 
+    // Returns when the caller of a request that comes now stops waiting; never when it does not say.
+    TimePoint deadlineOf(const HttpRequest& request, TimePoint now)
+    {
+        constexpr std::int64_t longestMilliseconds = 3600000;
+        const std::string_view text = detail::headerValue(request.headers, "X-Timeout-Ms");
+        std::int64_t milliseconds = 0;
+        if (std::from_chars(text.data(), text.data() + text.size(), milliseconds).ec != std::errc())
+            return TimePoint::max();
+        return now + std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, longestMilliseconds));
+    }
+
     RunRecord recordOf(const HttpRequest& request, std::uint64_t run)
     {
         RunRecord record;
@@ -94,7 +107,9 @@
         this->refuse(connection, "draining");
         return;
     }
-    this->admit(std::make_shared<Run>(this->context, connection, std::move(request)));
+    const auto run = std::make_shared<Run>(this->context, connection, std::move(request));
+    run->deadline = deadlineOf(run->request, Clock::now());
+    this->admit(run);
 }
 
 void TargetService::admit(const RunPointer& run)
@@ -128,7 +143,10 @@
         return;
     }
     run->connection->onCancel([this, run] { this->cancel(run); });
-    this->finishAfter(run, this->drawServiceTime());
+    const Duration serviceTime = this->drawServiceTime();
+    const Duration remaining = run->deadline - Clock::now();
+    run->expired = serviceTime > remaining;
+    this->finishAfter(run, std::min(serviceTime, remaining));
 }
 
 void TargetService::finishAfter(const RunPointer& run, Duration wait)
@@ -155,12 +173,14 @@
     }
     const std::string name = this->options.address + ":" + std::to_string(this->port());
     const RunRecord record = recordOf(run->request, run->number);
-    HttpAnswer answer = answerWith(failed ? statusInternalError : 200, detail::renderRun(record, name, this->options.answerBytes));
+    const unsigned status = run->expired ? statusGatewayTimeout : failed ? statusInternalError
+                                                                         : 200;
+    HttpAnswer answer = answerWith(status, detail::renderRun(record, name, this->options.answerBytes));
     answer.headers.push_back({ "X-Nonce", record.nonce });
     if (this->faults.drain)
         answer.headers.push_back({ "X-Target-State", "leaving" });
     run->connection->answer(answer);
-    this->leaveSlot(run, failed ? RunEnd::Failed : RunEnd::Answered);
+    this->leaveSlot(run, status == 200 ? RunEnd::Answered : RunEnd::Failed);
 }
 
 void TargetService::cancel(const RunPointer& run)
@@ -185,8 +205,12 @@
     while (!this->waiting.empty() && this->counters.running < this->options.slots) {
         const RunPointer run = this->waiting.front();
         this->waiting.pop_front();
-        if (run->connection->open())
+        if (!run->connection->open())
+            continue;
+        if (run->deadline > Clock::now())
             this->begin(run);
+        else
+            this->refuse(run->connection, "deadline");
     }
 }
 
--- a/packages/standins/src/TargetService.h
+++ b/packages/standins/src/TargetService.h
@@ -39,6 +39,9 @@
         detail::HttpRequest request;
         asio::steady_timer timer;
         std::uint64_t number { 0 };
+        // When its caller stops waiting, by the header X-Timeout-Ms.
+        TimePoint deadline { TimePoint::max() };
+        bool expired { false };
         // The target's life in which the run began; a crash ends a life.
         std::uint64_t life { 0 };
         bool over { false };
--- a/packages/standins/tests/unit-targets.cpp
+++ b/packages/standins/tests/unit-targets.cpp
@@ -19,10 +19,10 @@
         this->socket.connect({ asio::ip::make_address("127.0.0.1"), port });
     }
 
-    void send(const std::string& method, const std::string& path, const std::string& nonce, const std::string& body = {})
+    void send(const std::string& method, const std::string& path, const std::string& nonce, const std::string& body = {}, const std::string& timeout = "60000")
     {
         const std::string text = method + " " + path + " HTTP/1.1\r\nHost: t\r\nX-Nonce: " + nonce
-            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            + "\r\nX-Timeout-Ms: " + timeout + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         asio::write(this->socket, asio::buffer(text));
     }
 
@@ -192,3 +192,16 @@
     control.send("GET", "/control/ledger?port=" + std::to_string(this->port), "");
     CHECK(contains(control.receive(), "200 OK"));
 }
+
+TEST(Targets, BreakOffARunAtItsDeadlineAndNeverStartOneAfterIt)
+{
+    this->targets.setFaults(this->port, { .slowFactor = 10000, .shed = false });
+    Caller first(this->port);
+    first.send("GET", "/", "n1", "", "100");
+    awaitThat([this] { return this->targets.ledger(this->port).running == 1; });
+    Caller second(this->port);
+    second.send("GET", "/", "n2", "", "1");
+    CHECK(contains(first.receive(), "504"));
+    CHECK(contains(second.receive(), "X-Not-Run: deadline"));
+    LONGS_EQUAL(1, this->targets.ledger(this->port).runs.size());
+}
