--- a/packages/platform/src/Wire.cpp
+++ b/packages/platform/src/Wire.cpp
@@ -51,20 +51,22 @@
         return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
     }
 
-    json memberOf(const json& object, std::string_view name)
+    // Returns the member; null when it is absent or object is none.
+    const json& memberOf(const json& object, std::string_view name)
     {
+        static const json absent;
         if (!object.is_object())
-            return {};
+            return absent;
         const auto found = object.find(name);
-        return found != object.end() ? *found : json();
+        return found != object.end() ? *found : absent;
     }
 
     json parse(std::string_view text) { return json::parse(text, nullptr, false); }
 
     std::optional<Object> readObject(Plural plural, const json& value)
     {
-        const json metadata = memberOf(value, "metadata");
-        const json annotations = memberOf(metadata, "annotations");
+        const json& metadata = memberOf(value, "metadata");
+        const json& annotations = memberOf(metadata, "annotations");
         Object object;
         object.plural = plural;
         object.name = textOf(metadata, "name");
@@ -142,7 +144,7 @@
 std::optional<ObjectList> decodeList(Plural plural, std::string_view text)
 {
     const json parsed = parse(text);
-    const json items = memberOf(parsed, "items");
+    const json& items = memberOf(parsed, "items");
     ObjectList list;
     list.resourceVersion = textOf(memberOf(parsed, "metadata"), "resourceVersion");
     if (!items.is_array() || list.resourceVersion.empty())
@@ -162,7 +164,7 @@
     WatchLine line;
     const json parsed = parse(text);
     const std::string type = textOf(parsed, "type");
-    const json object = memberOf(parsed, "object");
+    const json& object = memberOf(parsed, "object");
     if (type == "ERROR") {
         if (memberOf(object, "code") == statusGone)
             line.kind = WatchLineKind::Expired;
