--- /dev/null
+++ b/packages/keys/bench/Disturbances.cpp
@@ -0,0 +1,186 @@
+#include "FleetState.h"
+
+#include "flamingowick/keys/Placement.h"
+
+namespace flamingowick::keys::bench {
+
+namespace {
+
+    using std::chrono::seconds;
+
+    // From a death to its proof, and to the restart of the VM.
+    constexpr seconds proofDelay { 10 };
+    constexpr seconds restartDelay { 20 };
+    constexpr seconds leaseRenewal { 3 };
+    constexpr seconds rollingStep { 15 };
+    constexpr seconds rollingGrace { 3 };
+    constexpr seconds pauseStep { 30 };
+
+    Succession actAtOnce(const SuccessionEvidence&) noexcept { return Succession::ActNow; }
+
+}
+
+std::vector<std::string> liveVms(const Fleet& fleet)
+{
+    std::vector<std::string> live;
+    for (const Node& node : fleet.nodes) {
+        bool lapsed = isLease(fleet) && node.leaseUntil <= fleet.now && !fleet.storeDown;
+        if (node.alive && !lapsed)
+            live.push_back(node.state.self.vm);
+    }
+    return live;
+}
+
+namespace {
+
+    // Lets the live daemons claim the ranges that the dead one held.
+    void reclaim(Fleet& fleet, const DaemonId& dead)
+    {
+        std::vector<std::string> live = liveVms(fleet);
+        for (const auto& [id, record] : fleet.records) {
+            if (record.owner == dead && !live.empty())
+                deliver(fleet, nodeOf({ std::string(preferredOwner(id, live)), 0 }), ClaimWanted { id });
+        }
+    }
+
+    void proveDeath(Fleet& fleet, const DaemonId& dead)
+    {
+        broadcast(fleet, nodeCount, DeathProven { dead });
+        reclaim(fleet, dead);
+        if (fleet.storeDown)
+            later(fleet, seconds(30), [&fleet, dead] { reclaim(fleet, dead); });
+    }
+
+}
+
+void start(Fleet& fleet, std::size_t index)
+{
+    Node& node = fleet.nodes[index];
+    node = Node();
+    node.alive = true;
+    node.readyAt = fleet.now + readyDelay;
+    node.leaseUntil = fleet.now + leaseTime;
+    node.state.self = { "vm" + std::to_string(index), static_cast<Incarnation>(wallMs(fleet)) };
+    if (fleet.setup.way == Way::Lease)
+        node.state.policy.decideSuccession = actAtOnce;
+    for (const auto& record : fleet.records)
+        node.state.entry.views[record.first] = record.second;
+}
+
+namespace {
+
+    void kill(Fleet& fleet, std::size_t index)
+    {
+        fleet.nodes[index].alive = false;
+        DaemonId dead = fleet.nodes[index].state.self;
+        later(fleet, proofDelay, [&fleet, dead] { proveDeath(fleet, dead); });
+        later(fleet, restartDelay, [&fleet, index] { start(fleet, index); });
+    }
+
+    // Hands every range of the daemon to the VM that comes next in the placement.
+    void handOverAll(Fleet& fleet, std::size_t index)
+    {
+        DaemonId self = fleet.nodes[index].state.self;
+        std::vector<std::string> others = liveVms(fleet);
+        std::erase(others, self.vm);
+        for (const auto& [id, record] : std::map<RangeId, RangeRecord>(fleet.records)) {
+            std::size_t successor = nodeOf({ std::string(preferredOwner(id, others)), 0 });
+            if (record.owner == self)
+                deliver(fleet, index, HandOverWanted { id, fleet.nodes[successor].state.self });
+        }
+    }
+
+    // Hands a new daemon the ranges that the placement gives it.
+    void handBack(Fleet& fleet, std::size_t index)
+    {
+        std::vector<std::string> live = liveVms(fleet);
+        const DaemonId& self = fleet.nodes[index].state.self;
+        for (const auto& [id, record] : std::map<RangeId, RangeRecord>(fleet.records)) {
+            if (preferredOwner(id, live) == self.vm && record.owner != self)
+                deliverTo(fleet, record.owner, HandOverWanted { id, self });
+        }
+    }
+
+    void replaceNext(Fleet& fleet, std::size_t index)
+    {
+        if (index >= nodeCount)
+            return;
+        handOverAll(fleet, index);
+        later(fleet, rollingGrace, [&fleet, index] {
+            fleet.nodes[index].alive = false;
+            DaemonId dead = fleet.nodes[index].state.self;
+            later(fleet, proofDelay, [&fleet, dead] { proveDeath(fleet, dead); });
+        });
+        later(fleet, 2 * rollingGrace, [&fleet, index] { start(fleet, index); });
+        later(fleet, 3 * rollingGrace, [&fleet, index] { handBack(fleet, index); });
+        later(fleet, rollingStep, [&fleet, index] { replaceNext(fleet, index + 1); });
+    }
+
+    void pauseOne(Fleet& fleet)
+    {
+        fleet.nodes[fleet.random() % nodeCount].pauseAtNextDispatch = true;
+        later(fleet, pauseStep, [&fleet] { pauseOne(fleet); });
+    }
+
+    // Holders renew as soon as the store is back, before anyone looks for lapsed leases.
+    void endOutage(Fleet& fleet)
+    {
+        fleet.storeDown = false;
+        for (Node& node : fleet.nodes) {
+            if (node.alive)
+                node.leaseUntil = fleet.now + leaseTime;
+        }
+    }
+
+}
+
+void disturb(Fleet& fleet)
+{
+    bool outage = fleet.setup.disturbance == Disturbance::StoreOutage || fleet.setup.disturbance == Disturbance::StoreOutageWithDeath;
+    if (outage) {
+        fleet.storeDown = true;
+        later(fleet, std::chrono::hours(2), [&fleet] { endOutage(fleet); });
+    }
+    if (fleet.setup.disturbance == Disturbance::StoreOutageWithDeath)
+        later(fleet, std::chrono::hours(1), [&fleet] { kill(fleet, 0); });
+    if (fleet.setup.disturbance == Disturbance::KillOne || fleet.setup.disturbance == Disturbance::KillTwo)
+        kill(fleet, 0);
+    if (fleet.setup.disturbance == Disturbance::KillTwo)
+        kill(fleet, 1);
+    for (std::size_t index = 0; index < nodeCount && fleet.setup.disturbance == Disturbance::KillFailureDomain; index += failureDomains)
+        kill(fleet, index);
+    if (fleet.setup.disturbance == Disturbance::RollingReplacement)
+        replaceNext(fleet, 0);
+    if (fleet.setup.disturbance == Disturbance::Pauses)
+        pauseOne(fleet);
+}
+
+void renewLeases(Fleet& fleet)
+{
+    for (Node& node : fleet.nodes) {
+        if (!node.alive || node.pausedUntil > fleet.now)
+            continue;
+        countWrite(fleet);
+        if (!fleet.storeDown)
+            node.leaseUntil = fleet.now + leaseTime;
+    }
+    later(fleet, leaseRenewal, [&fleet] { renewLeases(fleet); });
+}
+
+// Tells the others of lapsed leases, which they read from the store.
+void lapseLeases(Fleet& fleet)
+{
+    for (const Node& node : fleet.nodes) {
+        if (node.leaseUntil <= fleet.now && !fleet.storeDown && !node.state.self.vm.empty()) {
+            DaemonId holder = node.state.self;
+            for (std::size_t to = 0; to < nodeCount; ++to) {
+                if (to != nodeOf(holder))
+                    deliver(fleet, to, DeathProven { holder });
+            }
+            reclaim(fleet, holder);
+        }
+    }
+    later(fleet, seconds(1), [&fleet] { lapseLeases(fleet); });
+}
+
+}
--- a/packages/keys/bench/Fleet.cpp
+++ b/packages/keys/bench/Fleet.cpp
@@ -1,4 +1,4 @@
-#include "Fleet.h"
+#include "FleetState.h"
 
 #include "flamingowick/keys/Placement.h"
 #include "flamingowick/model/Error.h"
@@ -15,106 +15,34 @@
     using std::chrono::milliseconds;
     using std::chrono::seconds;
 
-    constexpr std::size_t nodeCount = 44;
-    constexpr std::size_t failureDomains = 3;
     constexpr microseconds hop { 500 };
     constexpr milliseconds storeLatency { 5 };
     constexpr milliseconds targetTime { 20 };
     constexpr seconds tickInterval { 1 };
-    // Time in which a new daemon hears the owners before it takes callers.
-    constexpr seconds readyDelay { 3 };
     constexpr seconds drainTime { 30 };
     constexpr seconds warmUp { 10 };
-    // From a death to its proof, and to the restart of the VM.
-    constexpr seconds proofDelay { 10 };
-    constexpr seconds restartDelay { 20 };
-    constexpr seconds leaseTime { 10 };
-    constexpr seconds leaseRenewal { 3 };
     constexpr seconds resendPause { 5 };
     constexpr unsigned maxResends = 3;
-    constexpr seconds rollingStep { 15 };
-    constexpr seconds rollingGrace { 3 };
-    constexpr seconds pauseStep { 30 };
     constexpr seconds pauseLength { 20 };
-    constexpr std::int64_t wallEpochMs = 1764720000000;
     constexpr unsigned opaquePercent = 50;
 
-    struct Node {
-        State state;
-        bool alive { false };
-        // From when on the balancer sends it callers.
-        TimePoint readyAt;
-        TimePoint pausedUntil;
-        TimePoint leaseUntil;
-        std::vector<Event> inbox;
-        std::vector<Action> held;
-        bool pauseAtNextDispatch { false };
-        std::uint64_t nextCounter { 1 };
-    };
-
-    struct Key {
-        std::string text;
-        std::string service;
-        unsigned attempts { 0 };
-        unsigned runs { 0 };
-        bool answered { false };
-        bool notRunTold { false };
-    };
-
-    struct Attempt {
-        std::size_t key { 0 };
-        TimePoint sentAt;
-        bool done { false };
-    };
-
-    struct Fleet {
-        Setup setup;
-        std::mt19937_64 random;
-        TimePoint now { std::chrono::hours(100) };
-        std::vector<Node> nodes { nodeCount };
-        std::map<RangeId, RangeRecord> records;
-        bool storeDown { false };
-        std::uint64_t writesThisSecond { 0 };
-        std::vector<Key> keys;
-        TimePoint loadEnd;
-        std::unordered_map<RequestId, Attempt> attempts;
-        std::multimap<TimePoint, std::function<void()>> agenda;
-        std::vector<std::string> services { "dereg-ledger", "member-settle", "parts-catalogue", "reservas", "cobranzas", "inventario" };
-        Measured measured;
-    };
-
-    void later(Fleet& fleet, Duration delay, std::function<void()> work) { fleet.agenda.emplace(fleet.now + delay, std::move(work)); }
-    std::size_t nodeOf(const DaemonId& daemon) { return static_cast<std::size_t>(std::stoul(daemon.vm.substr(2))); }
-    std::int64_t wallMs(const Fleet& fleet) { return wallEpochMs + std::chrono::duration_cast<milliseconds>(fleet.now.time_since_epoch()).count(); }
-    bool isLease(const Fleet& fleet) { return fleet.setup.way != Way::SoleOwner; }
-
-    Succession actAtOnce(const SuccessionEvidence&) noexcept { return Succession::ActNow; }
+    void attempt(Fleet& fleet, std::size_t key);
 
-    std::vector<std::string> liveVms(const Fleet& fleet)
-    {
-        std::vector<std::string> live;
-        for (const Node& node : fleet.nodes) {
-            bool lapsed = isLease(fleet) && node.leaseUntil <= fleet.now && !fleet.storeDown;
-            if (node.alive && !lapsed)
-                live.push_back(node.state.self.vm);
-        }
-        return live;
-    }
+}
 
-    void deliver(Fleet& fleet, std::size_t to, const Event& event);
-    void attempt(Fleet& fleet, std::size_t key);
+void countWrite(Fleet& fleet)
+{
+    ++fleet.measured.storeWrites;
+    ++fleet.writesThisSecond;
+}
 
-    void countWrite(Fleet& fleet)
-    {
-        ++fleet.measured.storeWrites;
-        ++fleet.writesThisSecond;
-    }
+void deliverTo(Fleet& fleet, const DaemonId& to, const Event& event)
+{
+    if (fleet.nodes[nodeOf(to)].state.self == to)
+        deliver(fleet, nodeOf(to), event);
+}
 
-    void deliverTo(Fleet& fleet, const DaemonId& to, const Event& event)
-    {
-        if (fleet.nodes[nodeOf(to)].state.self == to)
-            deliver(fleet, nodeOf(to), event);
-    }
+namespace {
 
     void readStore(Fleet& fleet, const DaemonId& from, const RangeId& id)
     {
@@ -187,13 +115,17 @@
 
     Duration hopBetween(std::size_t from, const DaemonId& to) { return nodeOf(to) == from ? Duration(0) : Duration(hop); }
 
-    void broadcast(Fleet& fleet, std::size_t from, const Event& event)
-    {
-        for (std::size_t to = 0; to < nodeCount; ++to) {
-            if (to != from)
-                deliver(fleet, to, event);
-        }
+}
+
+void broadcast(Fleet& fleet, std::size_t from, const Event& event)
+{
+    for (std::size_t to = 0; to < nodeCount; ++to) {
+        if (to != from)
+            deliver(fleet, to, event);
     }
+}
+
+namespace {
 
     struct Performer {
         Fleet& fleet;
@@ -261,25 +193,29 @@
             deliver(fleet, index, event);
     }
 
-    void deliver(Fleet& fleet, std::size_t to, const Event& event)
-    {
-        Node& node = fleet.nodes[to];
-        if (!node.alive)
-            return;
-        if (node.pausedUntil > fleet.now) {
-            node.inbox.push_back(event);
-            return;
-        }
-        if (!node.inbox.empty() || !node.held.empty())
-            wake(fleet, to);
-        const auto* message = std::get_if<KeyedRequest>(&event);
-        bool lapsed = isLease(fleet) && node.leaseUntil <= fleet.now;
-        if (message != nullptr && lapsed) {
-            later(fleet, hop, [&fleet, id = message->request.id] { deliverTo(fleet, id.origin, ForwardRefused { id, std::nullopt }); });
-            return;
-        }
-        process(fleet, to, event);
+}
+
+void deliver(Fleet& fleet, std::size_t to, const Event& event)
+{
+    Node& node = fleet.nodes[to];
+    if (!node.alive)
+        return;
+    if (node.pausedUntil > fleet.now) {
+        node.inbox.push_back(event);
+        return;
     }
+    if (!node.inbox.empty() || !node.held.empty())
+        wake(fleet, to);
+    const auto* message = std::get_if<KeyedRequest>(&event);
+    bool lapsed = isLease(fleet) && node.leaseUntil <= fleet.now;
+    if (message != nullptr && lapsed) {
+        later(fleet, hop, [&fleet, id = message->request.id] { deliverTo(fleet, id.origin, ForwardRefused { id, std::nullopt }); });
+        return;
+    }
+    process(fleet, to, event);
+}
+
+namespace {
 
     void attempt(Fleet& fleet, std::size_t index)
     {
@@ -316,150 +252,6 @@
         later(fleet, Duration(seconds(1)) / fleet.setup.requestsPerSecond, [&fleet] { newKey(fleet); });
     }
 
-    // Lets the live daemons claim the ranges that the dead one held.
-    void reclaim(Fleet& fleet, const DaemonId& dead)
-    {
-        std::vector<std::string> live = liveVms(fleet);
-        for (const auto& [id, record] : fleet.records) {
-            if (record.owner == dead && !live.empty())
-                deliver(fleet, nodeOf({ std::string(preferredOwner(id, live)), 0 }), ClaimWanted { id });
-        }
-    }
-
-    void proveDeath(Fleet& fleet, const DaemonId& dead)
-    {
-        broadcast(fleet, nodeCount, DeathProven { dead });
-        reclaim(fleet, dead);
-        if (fleet.storeDown)
-            later(fleet, seconds(30), [&fleet, dead] { reclaim(fleet, dead); });
-    }
-
-    void start(Fleet& fleet, std::size_t index)
-    {
-        Node& node = fleet.nodes[index];
-        node = Node();
-        node.alive = true;
-        node.readyAt = fleet.now + readyDelay;
-        node.leaseUntil = fleet.now + leaseTime;
-        node.state.self = { "vm" + std::to_string(index), static_cast<Incarnation>(wallMs(fleet)) };
-        if (fleet.setup.way == Way::Lease)
-            node.state.policy.decideSuccession = actAtOnce;
-        for (const auto& record : fleet.records)
-            node.state.entry.views[record.first] = record.second;
-    }
-
-    void kill(Fleet& fleet, std::size_t index)
-    {
-        fleet.nodes[index].alive = false;
-        DaemonId dead = fleet.nodes[index].state.self;
-        later(fleet, proofDelay, [&fleet, dead] { proveDeath(fleet, dead); });
-        later(fleet, restartDelay, [&fleet, index] { start(fleet, index); });
-    }
-
-    // Hands every range of the daemon to the VM that comes next in the placement.
-    void handOverAll(Fleet& fleet, std::size_t index)
-    {
-        DaemonId self = fleet.nodes[index].state.self;
-        std::vector<std::string> others = liveVms(fleet);
-        std::erase(others, self.vm);
-        for (const auto& [id, record] : std::map<RangeId, RangeRecord>(fleet.records)) {
-            std::size_t successor = nodeOf({ std::string(preferredOwner(id, others)), 0 });
-            if (record.owner == self)
-                deliver(fleet, index, HandOverWanted { id, fleet.nodes[successor].state.self });
-        }
-    }
-
-    // Hands a new daemon the ranges that the placement gives it.
-    void handBack(Fleet& fleet, std::size_t index)
-    {
-        std::vector<std::string> live = liveVms(fleet);
-        const DaemonId& self = fleet.nodes[index].state.self;
-        for (const auto& [id, record] : std::map<RangeId, RangeRecord>(fleet.records)) {
-            if (preferredOwner(id, live) == self.vm && record.owner != self)
-                deliverTo(fleet, record.owner, HandOverWanted { id, self });
-        }
-    }
-
-    void replaceNext(Fleet& fleet, std::size_t index)
-    {
-        if (index >= nodeCount)
-            return;
-        handOverAll(fleet, index);
-        later(fleet, rollingGrace, [&fleet, index] {
-            fleet.nodes[index].alive = false;
-            DaemonId dead = fleet.nodes[index].state.self;
-            later(fleet, proofDelay, [&fleet, dead] { proveDeath(fleet, dead); });
-        });
-        later(fleet, 2 * rollingGrace, [&fleet, index] { start(fleet, index); });
-        later(fleet, 3 * rollingGrace, [&fleet, index] { handBack(fleet, index); });
-        later(fleet, rollingStep, [&fleet, index] { replaceNext(fleet, index + 1); });
-    }
-
-    void pauseOne(Fleet& fleet)
-    {
-        fleet.nodes[fleet.random() % nodeCount].pauseAtNextDispatch = true;
-        later(fleet, pauseStep, [&fleet] { pauseOne(fleet); });
-    }
-
-    // Holders renew as soon as the store is back, before anyone looks for lapsed leases.
-    void endOutage(Fleet& fleet)
-    {
-        fleet.storeDown = false;
-        for (Node& node : fleet.nodes) {
-            if (node.alive)
-                node.leaseUntil = fleet.now + leaseTime;
-        }
-    }
-
-    void disturb(Fleet& fleet)
-    {
-        bool outage = fleet.setup.disturbance == Disturbance::StoreOutage || fleet.setup.disturbance == Disturbance::StoreOutageWithDeath;
-        if (outage) {
-            fleet.storeDown = true;
-            later(fleet, std::chrono::hours(2), [&fleet] { endOutage(fleet); });
-        }
-        if (fleet.setup.disturbance == Disturbance::StoreOutageWithDeath)
-            later(fleet, std::chrono::hours(1), [&fleet] { kill(fleet, 0); });
-        if (fleet.setup.disturbance == Disturbance::KillOne || fleet.setup.disturbance == Disturbance::KillTwo)
-            kill(fleet, 0);
-        if (fleet.setup.disturbance == Disturbance::KillTwo)
-            kill(fleet, 1);
-        for (std::size_t index = 0; index < nodeCount && fleet.setup.disturbance == Disturbance::KillFailureDomain; index += failureDomains)
-            kill(fleet, index);
-        if (fleet.setup.disturbance == Disturbance::RollingReplacement)
-            replaceNext(fleet, 0);
-        if (fleet.setup.disturbance == Disturbance::Pauses)
-            pauseOne(fleet);
-    }
-
-    void renewLeases(Fleet& fleet)
-    {
-        for (Node& node : fleet.nodes) {
-            if (!node.alive || node.pausedUntil > fleet.now)
-                continue;
-            countWrite(fleet);
-            if (!fleet.storeDown)
-                node.leaseUntil = fleet.now + leaseTime;
-        }
-        later(fleet, leaseRenewal, [&fleet] { renewLeases(fleet); });
-    }
-
-    // Tells the others of lapsed leases, which they read from the store.
-    void lapseLeases(Fleet& fleet)
-    {
-        for (const Node& node : fleet.nodes) {
-            if (node.leaseUntil <= fleet.now && !fleet.storeDown && !node.state.self.vm.empty()) {
-                DaemonId holder = node.state.self;
-                for (std::size_t to = 0; to < nodeCount; ++to) {
-                    if (to != nodeOf(holder))
-                        deliver(fleet, to, DeathProven { holder });
-                }
-                reclaim(fleet, holder);
-            }
-        }
-        later(fleet, seconds(1), [&fleet] { lapseLeases(fleet); });
-    }
-
     void tickAll(Fleet& fleet)
     {
         WallReading wall { wallMs(fleet), fleet.now, Duration(0) };
