--- a/packages/daemon/include/flamingowick/daemon/KeyService.h
+++ b/packages/daemon/include/flamingowick/daemon/KeyService.h
@@ -83,7 +83,7 @@
     PlatformCalls& calls;
     KeyNeighbours neighbours;
     keys::State state;
-    TimePoint nextPlacement;
+    TimePoint nextTick;
     bool shuttingDown { false };
 };
 
--- a/packages/daemon/src/Core.cpp
+++ b/packages/daemon/src/Core.cpp
@@ -4,6 +4,14 @@
 
 namespace flamingowick::daemon {
 
+namespace {
+
+    // How long a shutdown waits for others to take its key ranges. What they have not taken by then
+    // is treated by them like the ranges of a daemon that died.
+    constexpr std::chrono::seconds handOverLimit { 10 };
+
+}
+
 Core::Core(DaemonSettings settings, const DaemonId& self, Ports ports, std::uint64_t secret, TimePoint now)
     : context(std::move(settings), self, std::move(ports))
     , calls([this](platform::Call call) { return this->context.ports.callPlatform(std::move(call)); })
@@ -167,7 +175,8 @@
         this->acceptingStopped = true;
         this->context.ports.stopAccepting();
     }
-    bool isIdle = this->entry.pending() == 0 && this->forwards.pending() == 0 && this->dispatch.active() == 0 && this->keyService.handedOver();
+    bool isHandedOver = this->keyService.handedOver() || since >= this->context.settings.shutdownGrace + handOverLimit;
+    bool isIdle = this->entry.pending() == 0 && this->forwards.pending() == 0 && this->dispatch.active() == 0 && isHandedOver;
     bool isOver = since >= this->context.settings.shutdownLimit;
     if (this->finished || !this->acceptingStopped || !(isIdle || isOver))
         return;
--- a/packages/daemon/src/KeyService.cpp
+++ b/packages/daemon/src/KeyService.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds placementInterval { 500 };
+    // Each tick sends a heartbeat to every member.
+    constexpr std::chrono::milliseconds keyTickInterval { 500 };
     // Ranges that one daemon hands over at a time when the placement prefers another owner.
     constexpr unsigned handOversAtOnce = 4;
 
@@ -246,10 +247,10 @@
 
 void KeyService::tick(TimePoint now)
 {
-    this->handle(keys::Tick { readWallClock() }, now);
-    if (now < this->nextPlacement)
+    if (now < this->nextTick)
         return;
-    this->nextPlacement = now + placementInterval;
+    this->nextTick = now + keyTickInterval;
+    this->handle(keys::Tick { readWallClock() }, now);
     if (!this->shuttingDown)
         this->claimRanges(now);
     this->handOverRanges(now);
--- a/packages/peers/src/PeerTransport.cpp
+++ b/packages/peers/src/PeerTransport.cpp
@@ -7,6 +7,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <cstring>
 #include <thread>
@@ -18,12 +19,14 @@
 
 namespace {
 
-    constexpr int heartbeatIntervalMs = 1000;
-    constexpr int heartbeatTimeoutMs = 3000;
+    constexpr int heartbeatIntervalMs = 3000;
+    constexpr int heartbeatTimeoutMs = 9000;
     constexpr int reconnectIntervalMs = 50;
     constexpr int reconnectIntervalMaxMs = 1000;
     constexpr std::size_t receiveBatch = 256;
-    constexpr std::chrono::milliseconds pollLimit { 1000 };
+    // Monitors are looked at this often rather than waited for: waiting on a socket for each peer
+    // costs as much for every message as all peers together.
+    constexpr std::chrono::milliseconds monitorInterval { 50 };
 
     struct SendCommand {
         std::string address;
@@ -97,6 +100,7 @@
     zmq::socket_t inbox;
     std::unordered_map<std::string, Link> links;
     std::uint64_t monitors { 0 };
+    TimePoint nextMonitorCheck;
     std::thread thread;
 
     Impl(const TransportSettings& transportSettings, TransportHandlers transportHandlers)
@@ -142,7 +146,8 @@
             for (Command& command : batch)
                 std::visit([this](auto& each) { this->execute(each); }, command);
             this->receive();
-            this->checkMonitors();
+            if (Clock::now() >= this->nextMonitorCheck)
+                this->checkMonitors();
         }
         this->links.clear();
         this->inbox.close();
@@ -150,13 +155,8 @@
 
     void waitForWork()
     {
-        std::vector<zmq::pollitem_t> items;
-        items.reserve(this->links.size() + 2);
-        items.push_back({ nullptr, this->wake.fd(), ZMQ_POLLIN, 0 });
-        items.push_back({ this->inbox.handle(), 0, ZMQ_POLLIN, 0 });
-        for (auto& [address, link] : this->links)
-            items.push_back({ link.monitor.handle(), 0, ZMQ_POLLIN, 0 });
-        zmq::poll(items, pollLimit);
+        std::array<zmq::pollitem_t, 2> items { { { nullptr, this->wake.fd(), ZMQ_POLLIN, 0 }, { this->inbox.handle(), 0, ZMQ_POLLIN, 0 } } };
+        zmq::poll(items, monitorInterval);
     }
 
     void execute(SendCommand& command)
@@ -244,6 +244,7 @@
 
     void checkMonitors()
     {
+        this->nextMonitorCheck = Clock::now() + monitorInterval;
         for (auto& [address, link] : this->links) {
             zmq::message_t event;
             while (link.monitor.recv(event, zmq::recv_flags::dontwait)) {
