--- a/packages/dispatch/include/flamingowick/dispatch/Messages.h
+++ b/packages/dispatch/include/flamingowick/dispatch/Messages.h
@@ -175,6 +175,7 @@
 enum class EvidenceKind : std::uint8_t {
     Ok,
     Error,
+    // No answer in time, also when the attempt was then cancelled; latency tells how long it lasted.
     Slow,
     PathFailure,
     // A possible crash by a request, which is not held against the target.
--- a/packages/dispatch/src/Completion.cpp
+++ b/packages/dispatch/src/Completion.cpp
@@ -10,11 +10,22 @@
     constexpr unsigned badGateway = 502;
     constexpr unsigned serviceUnavailable = 503;
 
-    std::optional<EvidenceKind> evidenceOf(const AttemptResult& result)
+    // Whether an attempt that was cancelled tells that its target is slow: it lasted to the deadline,
+    // or until its caller hung up far beyond the usual time.
+    bool wasSlow(const Step& step, const Ticket& ticket, Duration taken)
+    {
+        auto usual = std::chrono::duration<double, Duration::period>(step.state.serviceTime.mean);
+        bool known = usual.count() > 0;
+        return step.now >= ticket.deadline || (known && taken > usual * step.state.document.health.slowFactor);
+    }
+
+    std::optional<EvidenceKind> evidenceOf(const Step& step, const Ticket& ticket, const AttemptResult& result, Duration taken)
     {
         switch (result.kind) {
         case AttemptKind::Answered:
             return result.status < firstServerError ? EvidenceKind::Ok : EvidenceKind::Error;
+        case AttemptKind::Cancelled:
+            return wasSlow(step, ticket, taken) ? std::optional(EvidenceKind::Slow) : std::nullopt;
         case AttemptKind::ConnectFailed:
             return EvidenceKind::PathFailure;
         case AttemptKind::MaybeRun:
@@ -25,7 +36,6 @@
             return EvidenceKind::CrashExcluded;
         case AttemptKind::Shed:
         case AttemptKind::Drained:
-        case AttemptKind::Cancelled:
             return std::nullopt;
         }
         return std::nullopt;
@@ -71,7 +81,7 @@
             if (--running->second == 0)
                 state.running.erase(running);
         }
-        auto kind = evidenceOf(event.result);
+        auto kind = evidenceOf(step, request.ticket, event.result, taken);
         if (kind)
             step.actions.push_back(Evidence { attempt.target, *kind, taken, state.failureDomain });
         if (kind == EvidenceKind::Ok)
--- a/packages/dispatch/tests/unit-requests.cpp
+++ b/packages/dispatch/tests/unit-requests.cpp
@@ -124,6 +124,30 @@
     CHECK(fixture.first<StartAttempt>());
 }
 
+TEST(Requests, CancelledAtTheirDeadlineTellThatTheTargetIsSlow)
+{
+    Fixture fixture;
+    RequestId id = fixture.submit();
+    fixture.now += seconds(10);
+    fixture.send(Tick {});
+    CHECK(fixture.first<Finish>()->reason == FinishReason::DeadlineExceeded);
+    fixture.end(id, AttemptKind::Cancelled);
+    CHECK(fixture.first<Evidence>()->kind == EvidenceKind::Slow);
+}
+
+TEST(Requests, CancelledByTheirCallerTellItOnlyBeyondTheUsualTime)
+{
+    for (int lasted : { 1, 5 }) {
+        Fixture fixture;
+        fixture.state.serviceTime.mean = seconds(1);
+        RequestId id = fixture.submit();
+        fixture.now += seconds(lasted);
+        fixture.send(Cancelled { id });
+        fixture.end(id, AttemptKind::Cancelled);
+        CHECK_EQUAL(lasted == 5, fixture.first<Evidence>() != nullptr);
+    }
+}
+
 TEST(Requests, SubmittedTwiceRunOnce)
 {
     Fixture fixture;
