Hold the promises across suspended machines and changes of the retention

The schedules now also suspend whole machines, whose clocks stand still, and change the retention. Takeovers are now dated by the most advanced clock seen and travel as an age, and entries and waits grow with the retention.

--- a/packages/keys/bench/Fleet.cpp
+++ b/packages/keys/bench/Fleet.cpp
@@ -155,7 +155,7 @@
         void operator()(const AcknowledgeEntries& action) const { this->post(action.to, EntriesAcknowledged { action.id, action.epochEnded }); }
         void operator()(const SendEntryFinished& action) const { this->post(action.to, action.message); }
         void operator()(const Announce& action) const { broadcast(this->fleet, this->from, OwnerAnnounced { action.record }); }
-        void operator()(const SendHeartbeat& action) const { broadcast(this->fleet, this->from, HeartbeatReceived { this->self, action.stamp }); }
+        void operator()(const SendHeartbeat& action) const { broadcast(this->fleet, this->from, HeartbeatReceived { this->self, action.stamp, action.wallMs }); }
     };
 
     void process(Fleet& fleet, std::size_t index, const Event& event)
--- a/packages/keys/include/flamingowick/keys/EntryTable.h
+++ b/packages/keys/include/flamingowick/keys/EntryTable.h
@@ -83,6 +83,9 @@
 // Moves the expiry of an entry.
 void setExpiry(EntryTable&, const RangeId&, KeyEntry&, TimePoint expiresAt);
 
+// Keeps the settled entries of a service for so much longer. Linear in their number.
+void extendExpiries(EntryTable&, std::string_view service, Duration by);
+
 // Keeps the answer of an entry for replay, or drops it when it does not fit.
 void keepAnswer(EntryTable&, const EntryLimits&, KeyEntry&, const Answer&);
 
--- a/packages/keys/include/flamingowick/keys/KeyMachine.h
+++ b/packages/keys/include/flamingowick/keys/KeyMachine.h
@@ -88,6 +88,8 @@
     std::int64_t wallMs { 0 };
     TimePoint at;
     bool known { false };
+    // How far the most advanced peer's wall clock was seen ahead of this one.
+    std::int64_t peerAheadMs { 0 };
 };
 
 // Heartbeat times of one owner. newer becomes usable once it has settled.
--- a/packages/keys/include/flamingowick/keys/Messages.h
+++ b/packages/keys/include/flamingowick/keys/Messages.h
@@ -62,7 +62,10 @@
     bool refusalFloor { false };
     // What is left of the sender's own wait after a takeover; 0 for none.
     Duration waitRemaining { 0 };
-    std::int64_t freshAfterWallMs { 0 };
+    // How long ago by the sender's clock a key must have been made to be possibly seen before.
+    std::optional<Duration> takeoverAge;
+    // How long the sender keeps entries.
+    Duration retention { 0 };
     // Keys with an earlier time may have been forgotten by the sender.
     std::int64_t oldestUsableMs { 0 };
 };
@@ -76,10 +79,11 @@
 struct CallerGone {
     RequestId id;
 };
-// A daemon's heartbeat with its own clock's time.
+// A daemon's heartbeat with its own steady and wall clocks' times.
 struct HeartbeatReceived {
     DaemonId from;
     TimePoint stamp;
+    std::int64_t wallMs { 0 };
 };
 // A peer's copy of a record: a hint where to send requests, nothing more.
 struct OwnerAnnounced {
@@ -243,9 +247,10 @@
 struct Announce {
     RangeRecord record;
 };
-// Tell the peers this daemon's own clock.
+// Tell the peers this daemon's own clocks.
 struct SendHeartbeat {
     TimePoint stamp;
+    std::int64_t wallMs { 0 };
 };
 
 using Action = std::variant<AnswerCaller, Forward, ForwardCancel, Dispatch, CancelDispatch, AnswerRequest,
--- a/packages/keys/include/flamingowick/keys/detail/Parts.h
+++ b/packages/keys/include/flamingowick/keys/detail/Parts.h
@@ -16,6 +16,11 @@
 
 // Takes in a reading of the wall clock and notices a suspended machine.
 void observeWall(Context&, const WallReading&);
+// Compares a peer's wall clock with this one's. A machine that was suspended may be behind without
+// knowing, and must not take its takeovers for older than they are.
+void observePeerWall(Context&, std::int64_t peerWallMs);
+// Returns the latest time that keys from before now may carry, or the maximum when it is not known.
+std::int64_t latestKeyTimeMs(const State&, TimePoint now) noexcept;
 // Returns the wall clock now, in milliseconds since the Unix epoch; never goes back.
 std::int64_t wallNow(const State&, TimePoint now) noexcept;
 bool isProvenDead(const State&, const DaemonId&);
--- a/packages/keys/src/EntryTable.cpp
+++ b/packages/keys/src/EntryTable.cpp
@@ -74,6 +74,18 @@
     table.expiries.insert({ expiresAt, { range, entry.key } });
 }
 
+void extendExpiries(EntryTable& table, std::string_view service, Duration by)
+{
+    for (auto& [range, entries] : table.ranges) {
+        if (range.service != service)
+            continue;
+        for (auto& item : entries.entries) {
+            if (item.second.state != EntryState::Running)
+                setExpiry(table, range, item.second, item.second.expiresAt + by);
+        }
+    }
+}
+
 void keepAnswer(EntryTable& table, const EntryLimits& limits, KeyEntry& entry, const Answer& answer)
 {
     std::size_t bytes = answerBytes(answer);
--- a/packages/keys/src/Evidence.cpp
+++ b/packages/keys/src/Evidence.cpp
@@ -1,6 +1,7 @@
 #include "flamingowick/keys/detail/Parts.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace flamingowick::keys {
 
@@ -13,6 +14,45 @@
 
 namespace detail {
 
+    namespace {
+
+        // Dates the takeovers anew after the wall clock was found behind by so much.
+        void dateTakeoversLater(State& state, std::int64_t behindMs)
+        {
+            for (auto& item : state.holdings) {
+                Holding& holding = item.second;
+                if (holding.unknownUntil && holding.freshAfterWallMs < std::numeric_limits<std::int64_t>::max() - behindMs)
+                    holding.freshAfterWallMs += behindMs;
+            }
+        }
+
+        void correctWall(State& state, std::int64_t behindMs)
+        {
+            // What peers had shown of it has been taken into account.
+            std::int64_t unknown = std::max<std::int64_t>(behindMs - state.wall.peerAheadMs, 0);
+            dateTakeoversLater(state, unknown);
+            state.wall.peerAheadMs = std::max<std::int64_t>(state.wall.peerAheadMs - behindMs, 0);
+        }
+
+    }
+
+    void observePeerWall(Context& context, std::int64_t peerWallMs)
+    {
+        State& state = context.state;
+        std::int64_t ahead = peerWallMs - wallNow(state, context.now);
+        if (!state.wall.known || ahead <= state.wall.peerAheadMs)
+            return;
+        dateTakeoversLater(state, ahead - state.wall.peerAheadMs);
+        state.wall.peerAheadMs = ahead;
+    }
+
+    std::int64_t latestKeyTimeMs(const State& state, TimePoint now) noexcept
+    {
+        if (!state.wall.known)
+            return std::numeric_limits<std::int64_t>::max();
+        return wallNow(state, now) + state.wall.peerAheadMs;
+    }
+
     void observeWall(Context& context, const WallReading& reading)
     {
         WallClock& wall = context.state.wall;
@@ -23,6 +63,8 @@
         Duration ahead = std::chrono::milliseconds(reading.wallMs - expected);
         if (wall.known && ahead > context.state.limits.suspendLimit)
             context.state.stampFloor = context.now;
+        if (wall.known && ahead > Duration(0))
+            correctWall(context.state, reading.wallMs - expected);
         wall.wallMs = wall.known ? std::max(expected, reading.wallMs) : reading.wallMs;
         wall.at = reading.readAt;
         wall.known = true;
@@ -78,6 +120,14 @@
         Duration after = retentionOf(state, event.service);
         auto [shortest, added] = state.shortestRetention.try_emplace(event.service, first ? after : before);
         shortest->second = std::min(shortest->second, after);
+        // What was entered under the shorter retention must outlive the age to which keys now run.
+        if (after <= before)
+            return;
+        extendExpiries(state.table, event.service, after - before);
+        for (auto& [id, holding] : state.holdings) {
+            if (id.service == event.service && holding.unknownUntil)
+                *holding.unknownUntil += after - before;
+        }
     }
 
     std::chrono::seconds retryAfter(Duration duration) noexcept
--- a/packages/keys/src/HandOver.cpp
+++ b/packages/keys/src/HandOver.cpp
@@ -1,6 +1,7 @@
 #include "flamingowick/keys/detail/Parts.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace flamingowick::keys::detail {
@@ -20,10 +21,12 @@
         handed.id = id;
         handed.from = state.self;
         handed.epochEnded = holding.record.epoch;
-        handed.freshAfterWallMs = holding.freshAfterWallMs;
+        handed.retention = retentionOf(state, id.service);
         handed.oldestUsableMs = std::max(holding.oldestUsableMs, oldestKeptMs(state, id.service, context.now));
         if (holding.unknownUntil)
             handed.waitRemaining = std::max(*holding.unknownUntil - context.now, Duration(0));
+        if (holding.freshAfterWallMs < std::numeric_limits<std::int64_t>::max())
+            handed.takeoverAge = std::chrono::milliseconds(latestKeyTimeMs(state, context.now) - holding.freshAfterWallMs);
         auto entries = state.table.ranges.find(id);
         if (entries == state.table.ranges.end())
             return handed;
@@ -57,7 +60,17 @@
         entry->remaining = retentionOf(state, received.id.service);
     }
 
-    KeyEntry entryFrom(const State& state, const RangeId& range, const HandedEntry& handed, TimePoint now)
+    // Dates the last takeover, as a successor hears of it, by this daemon's clock.
+    std::int64_t takeoverTimeMs(const Context& context, const HandedRange& handed)
+    {
+        std::int64_t latest = latestKeyTimeMs(context.state, context.now);
+        if (!handed.takeoverAge || latest == std::numeric_limits<std::int64_t>::max())
+            return std::numeric_limits<std::int64_t>::max();
+        return latest - std::chrono::duration_cast<std::chrono::milliseconds>(*handed.takeoverAge).count();
+    }
+
+    // growth is how much longer entries are kept here than by the sender.
+    KeyEntry entryFrom(const State& state, const RangeId& range, const HandedEntry& handed, Duration growth, TimePoint now)
     {
         KeyEntry entry;
         entry.key = handed.key;
@@ -67,7 +80,7 @@
         entry.runner = handed.runner;
         entry.answer = handed.answer;
         bool running = handed.state == EntryState::Running;
-        Duration remaining = running ? state.limits.longestFlight : handed.remaining;
+        Duration remaining = running ? state.limits.longestFlight : handed.remaining + growth;
         if (handed.state == EntryState::Unknown)
             remaining = retentionOf(state, range.service);
         entry.expiresAt = now + remaining;
@@ -203,8 +216,9 @@
     State& state = context.state;
     HandedRange handed = std::move(*holding.received);
     holding.received.reset();
+    Duration growth = std::max(retentionOf(state, handed.id.service) - handed.retention, Duration(0));
     for (const HandedEntry& entry : handed.entries)
-        addEntry(state.table, handed.id, entryFrom(state, handed.id, entry, context.now));
+        addEntry(state.table, handed.id, entryFrom(state, handed.id, entry, growth, context.now));
     RangeEntries& entries = state.table.ranges[handed.id];
     for (std::uint64_t refusal : handed.refusals) {
         entries.refusals[refusal] = context.now;
@@ -212,10 +226,10 @@
     }
     if (handed.refusalFloor)
         entries.refusalFloor = context.now;
-    holding.freshAfterWallMs = handed.freshAfterWallMs;
+    holding.freshAfterWallMs = takeoverTimeMs(context, handed);
     holding.oldestUsableMs = std::max(holding.oldestUsableMs, handed.oldestUsableMs);
     if (handed.waitRemaining > Duration(0))
-        holding.unknownUntil = context.now + handed.waitRemaining;
+        holding.unknownUntil = context.now + handed.waitRemaining + growth;
     context.actions.emplace_back(AcknowledgeEntries { handed.from, handed.id, handed.epochEnded });
 }
 
--- a/packages/keys/src/KeyMachine.cpp
+++ b/packages/keys/src/KeyMachine.cpp
@@ -10,7 +10,12 @@
 
     void take(Context& context, const CallerRequest& event) { callerRequest(context, event.request); }
     void take(Context& context, const CallerGone& event) { callerGone(context, event.id); }
-    void take(Context& context, const HeartbeatReceived& event) { heartbeatReceived(context, event); }
+    void take(Context& context, const HeartbeatReceived& event)
+    {
+        heartbeatReceived(context, event);
+        observePeerWall(context, event.wallMs);
+    }
+
     void take(Context& context, const ForwardAnswered& event) { forwardAnswered(context, event); }
     void take(Context& context, const ForwardRefused& event) { forwardRefused(context, event); }
     void take(Context& context, const PeerUnreachable& event) { peerUnreachable(context, event.id); }
@@ -48,8 +53,8 @@
         expireOwned(context);
         retryOwnership(context);
         expireAttempts(context);
-        heartbeatReceived(context, { context.state.self, context.now });
-        context.actions.emplace_back(SendHeartbeat { context.now });
+        heartbeatReceived(context, { context.state.self, context.now, 0 });
+        context.actions.emplace_back(SendHeartbeat { context.now, wallNow(context.state, context.now) });
     }
 
 }
--- a/packages/keys/src/Ownership.cpp
+++ b/packages/keys/src/Ownership.cpp
@@ -2,7 +2,6 @@
 #include "flamingowick/model/Invariant.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace flamingowick::keys::detail {
 
@@ -84,7 +83,7 @@
     {
         State& state = context.state;
         holding.unknownUntil = context.now + retentionOf(state, holding.record.id.service);
-        holding.freshAfterWallMs = state.wall.known ? wallNow(state, context.now) : std::numeric_limits<std::int64_t>::max();
+        holding.freshAfterWallMs = latestKeyTimeMs(state, context.now);
     }
 
 }
--- a/packages/keys/tests/World.cpp
+++ b/packages/keys/tests/World.cpp
@@ -167,7 +167,10 @@
 
         void operator()(const AnswerCaller& action) const
         {
-            bool late = action.tellBy && localNow(this->world, this->world.nodes[this->from]) > *action.tellBy;
+            const Node& node = this->world.nodes[this->from];
+            if (this->world.ledger.attempts.at(action.id).at < node.suspendedAt)
+                return;
+            bool late = action.tellBy && localNow(this->world, node) > *action.tellBy;
             noteTold(this->world, action.id, late ? *action.otherwise : action.answer);
         }
         void operator()(const Forward& action) const
@@ -201,7 +204,7 @@
         }
         void operator()(const SendEntryFinished& action) const { send(this->world, this->from, action.to, action.message); }
         void operator()(const Announce& action) const { broadcast(this->world, this->from, OwnerAnnounced { action.record }); }
-        void operator()(const SendHeartbeat& action) const { broadcast(this->world, this->from, HeartbeatReceived { this->self, action.stamp }); }
+        void operator()(const SendHeartbeat& action) const { broadcast(this->world, this->from, HeartbeatReceived { this->self, action.stamp, action.wallMs }); }
     };
 
     void perform(World& world, std::size_t from, const Action& action)
@@ -391,12 +394,37 @@
         }
     }
 
+    // Suspends the whole machine: its clocks stand still, and its wall clock is set right at some time
+    // after it goes on.
+    void suspend(World& world, std::size_t index)
+    {
+        Node& node = world.nodes[index];
+        milliseconds length = between(world, 5000, 20000);
+        milliseconds correction = chance(world, 50) ? milliseconds(0) : between(world, 0, 1500);
+        node.pausedUntil = world.now + length;
+        node.suspendedAt = world.now;
+        node.clockOffset -= length;
+        node.wallSkewMs -= length.count();
+        later(world, length + correction, [&world, index, length, self = node.state.self] {
+            if (world.nodes[index].state.self == self)
+                world.nodes[index].wallSkewMs += length.count();
+        });
+    }
+
+    // Changes the retention everywhere, one daemon after another.
+    void changePolicy(World& world)
+    {
+        KeyPolicy policy { retention + between(world, 0, 8000), clockBound };
+        for (std::size_t index = 0; index < nodeCount; ++index)
+            later(world, between(world, 1, 3000), [&world, index, policy] { deliver(world, index, PolicyChanged { "pay", policy }); });
+    }
+
     void fault(World& world)
     {
         std::size_t index = below(world, nodeCount);
         Node& node = world.nodes[index];
         DaemonId other = world.nodes[below(world, nodeCount)].state.self;
-        switch (below(world, 7)) {
+        switch (below(world, 9)) {
         case 0:
             world.store.downUntil = world.now + between(world, 500, 9000);
             break;
@@ -411,6 +439,13 @@
                 kill(world, index);
             break;
         case 4:
+            if (node.alive && node.pausedUntil <= world.now)
+                suspend(world, index);
+            break;
+        case 5:
+            changePolicy(world);
+            break;
+        case 6:
             deliver(world, index, Stopping { other });
             later(world, between(world, 50, 5000), [&world, index, self = node.state.self] {
                 if (world.nodes[index].alive && world.nodes[index].state.self == self)
--- a/packages/keys/tests/World.h
+++ b/packages/keys/tests/World.h
@@ -54,6 +54,8 @@
     Duration clockOffset { 0 };
     std::int64_t wallSkewMs { 0 };
     std::uint64_t nextCounter { 1 };
+    // When the machine was last suspended; callers that had asked before have gone.
+    TimePoint suspendedAt;
 };
 
 struct Store {
--- a/packages/keys/tests/unit-schedules.cpp
+++ b/packages/keys/tests/unit-schedules.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr std::uint64_t scheduleCount = 4000;
-constexpr std::uint64_t mutationScheduleLimit = 2500;
-constexpr Duration brokenLease = std::chrono::seconds(3);
+constexpr std::uint64_t mutationScheduleLimit = 10000;
+constexpr Duration brokenLease = std::chrono::milliseconds(1500);
 
 // Runs schedules until one shows a violation; returns the first, or "" when none does.
 std::string firstViolation(Scenario scenario)
