--- a/packages/health/src/SequentialTest.cpp
+++ b/packages/health/src/SequentialTest.cpp
@@ -18,8 +18,12 @@
     constexpr double worseThanPool = 2.5;
     // One chance in twenty that a failing target passes the trickle, by Wald's bound.
     const double clearEvidence = std::log(20.0);
-    // Most buckets that a verdict must span where false ejections weigh heavily.
-    constexpr double mostBuckets = 3.0;
+    // Buckets that a verdict must span, so that a burst of a second or so doesn't eject: where both
+    // mistakes cost the same, for each tenfold cost of a false ejection, and the bounds.
+    constexpr double spanOfEqualCosts = 4.5;
+    constexpr double spanPerTenfoldCost = 1.5;
+    constexpr double shortestSpan = 4.0;
+    constexpr double longestSpan = 6.0;
     constexpr double ceilingOverThreshold = 1.5;
 
     struct Weights {
@@ -110,7 +114,8 @@
     thresholds.probation = thresholds.eject / 2;
     thresholds.suspect = thresholds.eject / 2;
     thresholds.clear = clearEvidence;
-    thresholds.bucketLimit = thresholds.eject / std::clamp(1 + std::log10(ratio), 1.0, mostBuckets);
+    const auto span = spanOfEqualCosts + spanPerTenfoldCost * std::log10(ratio);
+    thresholds.bucketLimit = thresholds.eject / std::clamp(span, shortestSpan, longestSpan);
     thresholds.ceiling = thresholds.eject * ceilingOverThreshold;
     return thresholds;
 }
