--- a/packages/model/include/flamingowick/model/Identifiers.h
+++ b/packages/model/include/flamingowick/model/Identifiers.h
@@ -17,7 +17,7 @@
     std::string vm;
     Incarnation incarnation { 0 };
 
-    auto operator<=>(const DaemonId&) const = default;
+    auto operator<=>(const DaemonId&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 // A request as one daemon knows it. The counter never repeats within an incarnation, so the whole
@@ -26,7 +26,7 @@
     DaemonId origin;
     std::uint64_t counter { 0 };
 
-    auto operator<=>(const RequestId&) const = default;
+    auto operator<=>(const RequestId&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 // Where a target listens, as "address:port". Unique within a service.
--- a/packages/model/include/flamingowick/model/Outcome.h
+++ b/packages/model/include/flamingowick/model/Outcome.h
@@ -9,7 +9,8 @@
 enum class Outcome : std::uint8_t {
     // A target answered; the answer is the target's own.
     Answered,
-    // No byte of the request was handed to any target connection, and none will be.
+    // No target has run the request and none will: none was handed a byte of it, or each that was has
+    // stated by its documented signal that it did not run it.
     NotRun,
     // The request may have run.
     Unknown,
--- a/packages/peers/src/detail/WireKeys.cpp
+++ b/packages/peers/src/detail/WireKeys.cpp
@@ -109,7 +109,9 @@
         wire.add_refusals(refusal);
     wire.set_refusal_floor(range.refusalFloor);
     wire.set_wait_remaining(range.waitRemaining.count());
-    wire.set_fresh_after_wall_ms(range.freshAfterWallMs);
+    if (range.takeoverAge)
+        wire.set_takeover_age(range.takeoverAge->count());
+    wire.set_retention(range.retention.count());
     wire.set_oldest_usable_ms(range.oldestUsableMs);
 }
 
@@ -124,7 +126,9 @@
     range.refusals.assign(wire.refusals().begin(), wire.refusals().end());
     range.refusalFloor = wire.refusal_floor();
     range.waitRemaining = Duration(wire.wait_remaining());
-    range.freshAfterWallMs = wire.fresh_after_wall_ms();
+    if (wire.has_takeover_age())
+        range.takeoverAge = Duration(wire.takeover_age());
+    range.retention = Duration(wire.retention());
     range.oldestUsableMs = wire.oldest_usable_ms();
     return range;
 }
