--- a/packages/keys/src/Evidence.cpp
+++ b/packages/keys/src/Evidence.cpp
@@ -42,6 +42,9 @@
         std::int64_t ahead = peerWallMs - wallNow(state, context.now);
         if (!state.wall.known || ahead <= state.wall.peerAheadMs)
             return;
+        Duration jump = std::chrono::milliseconds(ahead - state.wall.peerAheadMs);
+        if (jump > state.limits.suspendLimit)
+            state.stampFloor = context.now;
         dateTakeoversLater(state, ahead - state.wall.peerAheadMs);
         state.wall.peerAheadMs = ahead;
     }
