Skip scores that a ring's bad outcomes can't reach

Most evaluations are of healthy targets: an upper bound kept per ring settles them without walking the buckets.

--- a/packages/health/include/flamingowick/health/Evidence.h
+++ b/packages/health/include/flamingowick/health/Evidence.h
@@ -50,6 +50,8 @@
     std::vector<Bucket> buckets;
     // The greatest index in use, -1 when there is none.
     std::int64_t newest { -1 };
+    // At least the sum of the buckets in the window; buckets not yet overwritten count too.
+    Counts sum {};
 };
 
 constexpr Duration fineWidth = std::chrono::milliseconds(250);
@@ -63,8 +65,8 @@
 // The same outcomes at two resolutions: the fine ring serves busy targets, the coarse one remembers
 // long enough for targets with little traffic and for rare errors.
 struct Rings {
-    Ring fine { fineWidth, std::vector<Bucket>(fineBuckets), -1 };
-    Ring coarse { coarseWidth, std::vector<Bucket>(coarseBuckets), -1 };
+    Ring fine { fineWidth, std::vector<Bucket>(fineBuckets), -1, {} };
+    Ring coarse { coarseWidth, std::vector<Bucket>(coarseBuckets), -1, {} };
 };
 
 // Who saw an outcome. A restarted daemon is another observer.
--- a/packages/health/include/flamingowick/health/SequentialTest.h
+++ b/packages/health/include/flamingowick/health/SequentialTest.h
@@ -72,6 +72,10 @@
 // throws.
 Score cusum(const Ring&, const SequentialTest&, std::int64_t from, const Thresholds&) noexcept;
 
+// Returns a level that cusum() can't exceed, whatever the order of the outcomes. Constant time; never
+// throws.
+double highestScore(const Ring&, const SequentialTest&) noexcept;
+
 // Returns the plain log-likelihood ratio over buckets from an index on; negative speaks for health.
 // O(buckets); never throws.
 double logLikelihoodRatio(const Ring&, const SequentialTest&, std::int64_t from) noexcept;
--- a/packages/health/src/Evidence.cpp
+++ b/packages/health/src/Evidence.cpp
@@ -11,14 +11,26 @@
         return static_cast<std::size_t>(index) % ring.buckets.size();
     }
 
+    Counts difference(const Counts& after, const Counts& before) noexcept
+    {
+        return {
+            after.total - before.total,
+            after.errors - before.errors,
+            after.slow - before.slow,
+            after.forgiven - before.forgiven,
+        };
+    }
+
     // Returns the bucket for an index, emptied of older contents; null when the ring has moved past it.
     Bucket* claim(Ring& ring, std::int64_t index) noexcept
     {
         auto& bucket = ring.buckets[position(ring, index)];
         if (bucket.index > index)
             return nullptr;
-        if (bucket.index < index)
+        if (bucket.index < index) {
+            ring.sum = difference(ring.sum, bucket.counts);
             bucket = Bucket { index, {} };
+        }
         ring.newest = std::max(ring.newest, index);
         return &bucket;
     }
@@ -33,8 +45,10 @@
 
     void addAt(Ring& ring, std::int64_t index, const Counts& added) noexcept
     {
-        if (auto* bucket = claim(ring, index))
+        if (auto* bucket = claim(ring, index)) {
             add(bucket->counts, added);
+            add(ring.sum, added);
+        }
     }
 
     Counts greaterOfEach(const Counts& a, const Counts& b) noexcept
@@ -47,16 +61,6 @@
         };
     }
 
-    Counts difference(const Counts& after, const Counts& before) noexcept
-    {
-        return {
-            after.total - before.total,
-            after.errors - before.errors,
-            after.slow - before.slow,
-            after.forgiven - before.forgiven,
-        };
-    }
-
     bool insideWindow(const Ring& ring, std::int64_t index, TimePoint now) noexcept
     {
         const auto newest = bucketIndex(now + clockTolerance, ring.width);
@@ -81,7 +85,7 @@
             return {};
         const auto merged = greaterOfEach(own->counts, incoming.counts);
         const auto added = difference(merged, own->counts);
-        own->counts = merged;
+        addAt(rings.own, incoming.index, added);
         addAt(rings.domain, incoming.index, added);
         addAt(rings.pooled, incoming.index, added);
         return added;
--- a/packages/health/src/Judgement.cpp
+++ b/packages/health/src/Judgement.cpp
@@ -113,6 +113,8 @@
     {
         const auto thresholds = thresholdsFor(state.policy);
         const auto threshold = thresholdOf(state, scope, now);
+        if (highestScore(ring, test) < threshold)
+            return std::nullopt;
         const auto from = firstBucket(evidenceStartOf(state, scope), ring.width);
         const auto alone = cusum(ring, test, from, thresholds);
         if (alone.value < threshold)
@@ -243,7 +245,8 @@
         const auto thresholds = thresholdsFor(state.policy);
         const auto tests = testsFor(state.policy);
         return std::any_of(tests.begin(), tests.end(), [&](const SequentialTest& test) {
-            return strongerScore(rings, test, from, thresholds).value >= thresholds.suspect;
+            const auto possible = std::max(highestScore(rings.fine, test), highestScore(rings.coarse, test)) >= thresholds.suspect;
+            return possible && strongerScore(rings, test, from, thresholds).value >= thresholds.suspect;
         });
     }
 
--- a/packages/health/src/SequentialTest.cpp
+++ b/packages/health/src/SequentialTest.cpp
@@ -148,6 +148,12 @@
     return score;
 }
 
+double highestScore(const Ring& ring, const SequentialTest& test) noexcept
+{
+    const auto bad = test.symptom == Symptom::Slowness ? ring.sum.slow : ring.sum.errors;
+    return bad * weightsOf(test).bad;
+}
+
 double logLikelihoodRatio(const Ring& ring, const SequentialTest& test, std::int64_t from) noexcept
 {
     const auto weights = weightsOf(test);
--- a/packages/health/tests/unit-evidence.cpp
+++ b/packages/health/tests/unit-evidence.cpp
@@ -86,6 +86,20 @@
     CHECK_EQUAL(2U, score.total);
 }
 
+TEST(SequentialTests, NeverExceedTheHighestScore)
+{
+    std::mt19937_64 random(17);
+    TargetEvidence evidence;
+    for (int i = 0; i < 3000; ++i) {
+        const auto bad = random() % 8 == 0 ? 1U : 0U;
+        addCounts(evidence, test::observerAt(0), test::start + i * 37ms, Counts { 1, bad, 1 - bad, random() % 40 == 0 ? bad : 0 });
+        for (const auto& one : testsFor({})) {
+            const auto score = cusum(evidence.pooled.fine, one, 0, thresholdsFor({}));
+            CHECK(score.value <= highestScore(evidence.pooled.fine, one) + 1e-9);
+        }
+    }
+}
+
 TEST(SequentialTests, DoNotCountForgivenErrors)
 {
     TargetEvidence evidence;
