Add flamingowickctl, the operators' tool; keep stored documents in one JSON form

Operators need to check, compare, write and read their documents, and to ask why a target is out. The daemon wrote its own JSON for accepted documents beside that of the configuration package; it now calls the latter, so that the tool reads what the daemon stores.

--- a/packages/configuration/include/flamingowick/configuration/StoreText.h
+++ b/packages/configuration/include/flamingowick/configuration/StoreText.h
@@ -2,8 +2,10 @@
 
 #include "flamingowick/configuration/Documents.h"
 
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 // The fleet's own objects as JSON, for the platform's store.
 namespace flamingowick::configuration {
@@ -24,4 +26,10 @@
 // Reads what auditArchiveJson wrote; as parseAcceptedDocument.
 Checked<AuditArchive> parseAuditArchive(std::string_view text);
 
+// Writes audit entries as a JSON array. Throws nothing but std::bad_alloc.
+std::string auditEntriesJson(std::span<const AuditEntry>);
+
+// Reads what auditEntriesJson wrote; as parseAcceptedDocument.
+Checked<std::vector<AuditEntry>> parseAuditEntries(std::string_view text);
+
 }
--- a/packages/configuration/src/StoreText.cpp
+++ b/packages/configuration/src/StoreText.cpp
@@ -23,7 +23,7 @@
         return list;
     }
 
-    Json auditJson(const std::vector<AuditEntry>& entries)
+    Json auditJson(std::span<const AuditEntry> entries)
     {
         Json list = Json::array();
         for (const AuditEntry& entry : entries) {
@@ -180,6 +180,16 @@
     return readObject<AuditArchive>(text, readArchive);
 }
 
+std::string auditEntriesJson(std::span<const AuditEntry> entries)
+{
+    return dump(auditJson(entries));
+}
+
+Checked<std::vector<AuditEntry>> parseAuditEntries(std::string_view text)
+{
+    return readObject<std::vector<AuditEntry>>(text, readAudit);
+}
+
 std::string domainStatusJson(const DomainStatus& status)
 {
     Json json;
--- /dev/null
+++ b/packages/ctl/src/Observe.cpp
@@ -0,0 +1,120 @@
+#include "flamingowick/ctl/Commands.h"
+#include "flamingowick/ctl/Stored.h"
+#include "flamingowick/ctl/detail/DaemonAnswers.h"
+
+#include <algorithm>
+#include <map>
+
+namespace flamingowick::ctl {
+
+namespace {
+
+    // Adds a value to a list that is kept in order, once.
+    void insertOnce(std::vector<std::string>& sorted, const std::string& value)
+    {
+        auto place = std::ranges::lower_bound(sorted, value);
+        if (place == sorted.end() || *place != value)
+            sorted.insert(place, value);
+    }
+
+    void addService(ServiceSummary& summary, const DaemonServiceStatus& service)
+    {
+        if (service.version > summary.version) {
+            summary.version = service.version;
+            summary.inForce = 0;
+        }
+        ++summary.daemons;
+        summary.inForce += service.version == summary.version ? 1 : 0;
+        summary.targets = std::max(summary.targets, service.targets);
+        insertOnce(summary.dispatchers, service.dispatcher);
+        for (const std::string& target : service.ejected)
+            insertOnce(summary.ejected, target);
+    }
+
+    DaemonStatusAnswer askStatus(const Ports& ports, const std::string& address)
+    {
+        DaemonAnswer answer = ports.getFromDaemon(address, "/status");
+        DaemonStatusAnswer status;
+        if (answer.status != httpOk) {
+            status.daemon.error = failureOf(address, answer).message;
+        } else if (auto parsed = parseDaemonStatus(answer.body)) {
+            status = std::move(*parsed);
+        } else {
+            status.daemon.error = address + " gave an answer that can't be read";
+        }
+        status.daemon.address = address;
+        return status;
+    }
+
+    Report storedStatus(const Ports& ports)
+    {
+        platform::Result result = ports.callPlatform(platform::List { 0, platform::Plural::FleetStatuses });
+        const auto* found = std::get_if<platform::Found>(&result);
+        if (found == nullptr)
+            return failureOf(result);
+        std::vector<configuration::DomainStatus> statuses;
+        for (const platform::Object& object : found->objects) {
+            auto checked = configuration::parseDomainStatus(object.specJson);
+            if (checked.accepted())
+                statuses.push_back(std::move(checked.value));
+        }
+        if (statuses.empty())
+            return FailureReport { ExitCode::Failure, "the platform holds no status that can be read; ask daemons with --daemons" };
+        return StoredStatusReport { configuration::combineStatus(statuses) };
+    }
+
+    // The order of daemons' failures by what they tell: an answer tells more than none.
+    void keepTelling(FailureReport& kept, FailureReport next)
+    {
+        if (kept.exitCode == ExitCode::Unreachable || next.exitCode != ExitCode::Unreachable)
+            kept = std::move(next);
+    }
+
+}
+
+Report status(const Ports& ports, std::span<const std::string> daemons)
+{
+    if (daemons.empty())
+        return storedStatus(ports);
+    StatusReport report;
+    std::map<std::string, ServiceSummary> services;
+    for (const std::string& address : daemons) {
+        DaemonStatusAnswer answer = askStatus(ports, address);
+        for (const DaemonServiceStatus& service : answer.services) {
+            ServiceSummary& summary = services[service.name];
+            summary.service = service.name;
+            addService(summary, service);
+        }
+        report.daemons.push_back(std::move(answer.daemon));
+    }
+    for (auto& [name, summary] : services)
+        report.services.push_back(std::move(summary));
+    return report;
+}
+
+Report explain(const Ports& ports, std::string_view service, std::string_view target, std::span<const std::string> daemons)
+{
+    FailureReport failure { ExitCode::BadInput, "explain asks daemons: give their addresses with --daemons" };
+    if (!daemons.empty())
+        failure.exitCode = ExitCode::Unreachable;
+    for (const std::string& address : daemons) {
+        DaemonAnswer answer = ports.getFromDaemon(address, explainPath(service, target));
+        if (answer.status == httpOk) {
+            if (auto report = parseExplanation(answer.body)) {
+                report->service = service;
+                report->source = address;
+                return *report;
+            }
+            keepTelling(failure, { ExitCode::Failure, address + " gave an answer that can't be read" });
+        } else if (auto dispatcher = answer.status == httpNotFound ? parseDispatcher(answer.body) : std::nullopt) {
+            keepTelling(failure, { ExitCode::Failure, "none of the daemons knows the target; the service's dispatcher is on VM " + *dispatcher });
+        } else if (answer.status == httpNotFound) {
+            keepTelling(failure, { ExitCode::Failure, "there is no service \"" + std::string(service) + "\"" });
+        } else {
+            keepTelling(failure, failureOf(address, answer));
+        }
+    }
+    return failure;
+}
+
+}
--- a/packages/daemon/include/flamingowick/daemon/StoredForms.h
+++ b/packages/daemon/include/flamingowick/daemon/StoredForms.h
@@ -31,7 +31,4 @@
 // Returns the names of the VMs that the platform lists, live or leaving.
 std::vector<std::string> readVmList(const platform::Object&);
 
-// Returns an audit entry as JSON text.
-std::string auditEntryJson(const configuration::AuditEntry&);
-
 }
--- a/packages/daemon/src/AdminService.cpp
+++ b/packages/daemon/src/AdminService.cpp
@@ -1,6 +1,6 @@
 #include "flamingowick/daemon/AdminService.h"
 
-#include "flamingowick/daemon/StoredForms.h"
+#include "flamingowick/configuration/StoreText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -193,9 +193,7 @@
     const configuration::AcceptedDocument& document = held->document;
     Json json { { "service", document.service }, { "version", document.version }, { "revision", document.revision },
         { "appliedVersion", held->appliedVersion }, { "deleted", document.deleted }, { "text", document.text } };
-    json["audit"] = Json::array();
-    for (const configuration::AuditEntry& entry : document.audit)
-        json["audit"].push_back(Json::parse(auditEntryJson(entry)));
+    json["audit"] = Json::parse(configuration::auditEntriesJson(document.audit));
     return jsonResponse(200, json);
 }
 
--- a/packages/daemon/src/StoredForms.cpp
+++ b/packages/daemon/src/StoredForms.cpp
@@ -1,5 +1,7 @@
 #include "flamingowick/daemon/StoredForms.h"
 
+#include "flamingowick/configuration/StoreText.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -30,12 +32,6 @@
         return found != json.end() && found->is_number_integer() ? found->get<Number>() : Number {};
     }
 
-    bool flagAt(const Json& json, const char* name)
-    {
-        auto found = json.find(name);
-        return found != json.end() && found->is_boolean() && found->get<bool>();
-    }
-
     const Json& arrayAt(const Json& json, const char* name)
     {
         static const Json empty = Json::array();
@@ -43,42 +39,6 @@
         return found != json.end() && found->is_array() ? *found : empty;
     }
 
-    Json findingJson(const Finding& finding)
-    {
-        return { { "number", finding.number }, { "pointer", finding.pointer }, { "line", finding.line }, { "message", finding.message } };
-    }
-
-    Finding readFinding(const Json& json)
-    {
-        return { numberAt<int>(json, "number"), stringAt(json, "pointer"), numberAt<unsigned>(json, "line"), stringAt(json, "message") };
-    }
-
-    Json auditJson(const configuration::AuditEntry& entry)
-    {
-        Json json { { "revision", entry.revision }, { "changeId", entry.changeId }, { "who", entry.who }, { "whenMs", entry.whenMs },
-            { "fromVersion", entry.fromVersion }, { "toVersion", entry.toVersion }, { "accepted", entry.accepted },
-            { "sourceVersion", entry.sourceVersion }, { "findings", Json::array() } };
-        for (const Finding& finding : entry.findings)
-            json["findings"].push_back(findingJson(finding));
-        return json;
-    }
-
-    configuration::AuditEntry readAudit(const Json& json)
-    {
-        configuration::AuditEntry entry;
-        entry.revision = numberAt<std::uint64_t>(json, "revision");
-        entry.changeId = stringAt(json, "changeId");
-        entry.who = stringAt(json, "who");
-        entry.whenMs = numberAt<std::int64_t>(json, "whenMs");
-        entry.fromVersion = numberAt<std::uint64_t>(json, "fromVersion");
-        entry.toVersion = numberAt<std::uint64_t>(json, "toVersion");
-        entry.accepted = flagAt(json, "accepted");
-        entry.sourceVersion = stringAt(json, "sourceVersion");
-        for (const Json& finding : arrayAt(json, "findings"))
-            entry.findings.push_back(readFinding(finding));
-        return entry;
-    }
-
     Json daemonJson(const DaemonId& id)
     {
         return { { "vm", id.vm }, { "incarnation", id.incarnation } };
@@ -114,52 +74,29 @@
 
 std::optional<configuration::StoredDocument> readAccepted(const platform::Object& object)
 {
-    Json spec = specOf(object);
-    configuration::StoredDocument stored;
-    configuration::AcceptedDocument& document = stored.document;
-    stored.objectVersion = object.resourceVersion;
-    document.service = stringAt(spec, "service");
-    if (document.service != object.name)
+    auto checked = configuration::parseAcceptedDocument(object.specJson);
+    if (!checked.accepted() || checked.value.service != object.name)
         return std::nullopt;
-    document.version = numberAt<std::uint64_t>(spec, "version");
-    document.revision = numberAt<std::uint64_t>(spec, "revision");
-    document.checked.present = flagAt(spec, "sourcePresent");
-    document.checked.resourceVersion = stringAt(spec, "sourceVersion");
-    document.checked.textHash = numberAt<std::uint64_t>(spec, "sourceHash");
-    document.text = stringAt(spec, "text");
-    document.deleted = flagAt(spec, "deleted");
-    for (const Json& entry : arrayAt(spec, "audit"))
-        document.audit.push_back(readAudit(entry));
-    document.archivedEntries = numberAt<std::uint64_t>(spec, "archivedEntries");
-    return stored;
+    return configuration::StoredDocument { std::move(checked.value), object.resourceVersion };
 }
 
 platform::Object writeAccepted(const configuration::AcceptedDocument& document, std::string_view expectedVersion)
 {
-    Json spec { { "service", document.service }, { "version", document.version }, { "revision", document.revision },
-        { "sourcePresent", document.checked.present }, { "sourceVersion", document.checked.resourceVersion },
-        { "sourceHash", document.checked.textHash }, { "text", document.text }, { "deleted", document.deleted },
-        { "audit", Json::array() }, { "archivedEntries", document.archivedEntries } };
-    for (const configuration::AuditEntry& entry : document.audit)
-        spec["audit"].push_back(auditJson(entry));
     platform::Object object;
     object.plural = platform::Plural::AcceptedDocuments;
     object.name = document.service;
     object.resourceVersion = expectedVersion;
     object.changeId = document.audit.empty() ? std::string() : document.audit.back().changeId;
-    object.specJson = dump(spec);
+    object.specJson = configuration::acceptedDocumentJson(document);
     return object;
 }
 
 platform::Object writeArchive(const configuration::AuditArchive& archive)
 {
-    Json spec { { "service", archive.service }, { "segment", archive.segment }, { "entries", Json::array() } };
-    for (const configuration::AuditEntry& entry : archive.entries)
-        spec["entries"].push_back(auditJson(entry));
     platform::Object object;
     object.plural = platform::Plural::AuditSegments;
     object.name = archive.service + "." + std::to_string(archive.segment);
-    object.specJson = dump(spec);
+    object.specJson = configuration::auditArchiveJson(archive);
     return object;
 }
 
@@ -219,9 +156,4 @@
     return vms;
 }
 
-std::string auditEntryJson(const configuration::AuditEntry& entry)
-{
-    return dump(auditJson(entry));
-}
-
 }
