ctl: ask the dispatcher first for an explanation; show versions beside a document

On a local fleet the daemon that was the dispatcher at start still explained a target from what it saw then. The tool now asks the daemons who the dispatcher is and begins with it.

--- a/packages/ctl/app/flamingowickctl.cpp
+++ b/packages/ctl/app/flamingowickctl.cpp
@@ -175,7 +175,9 @@
     if (FLAGS_output == "json")
         std::cout << ctl::renderJson(report);
     else
-        (isFailure ? std::cerr : std::cout) << ctl::renderText(report);
+        (isFailure ? std::cerr : std::cout) << ctl::renderText(report) << std::flush;
+    if (const auto* document = std::get_if<ctl::GetReport>(&report); document != nullptr && FLAGS_output == "text")
+        std::cerr << ctl::renderNote(*document);
     return static_cast<int>(ctl::exitCodeOf(report));
 }
 
--- a/packages/ctl/include/flamingowick/ctl/Commands.h
+++ b/packages/ctl/include/flamingowick/ctl/Commands.h
@@ -30,8 +30,8 @@
 // status objects have it.
 Report status(const Ports&, std::span<const std::string> daemons);
 
-// Asks the daemons in their order until the service's dispatcher answers why a target is treated as
-// it is.
+// Asks the daemons why a target is treated as it is, until one explains. Those that are named as the
+// service's dispatcher are asked first.
 Report explain(const Ports&, std::string_view service, std::string_view target, std::span<const std::string> daemons);
 
 }
--- a/packages/ctl/include/flamingowick/ctl/Reports.h
+++ b/packages/ctl/include/flamingowick/ctl/Reports.h
@@ -152,6 +152,8 @@
     std::string target;
     // The daemon that explained.
     std::string source;
+    // Some of the daemons that were asked name it as the service's dispatcher.
+    bool fromDispatcher { false };
     std::string standing;
     // Share of the ordinary traffic that the target gets, 0 to 1.
     double share { 0 };
@@ -174,6 +176,10 @@
 // Returns the report as people read it. Linear in its size; may throw std::bad_alloc.
 std::string renderText(const Report&);
 
+// Returns the line that goes beside a document's text: its versions and who wrote it. May throw
+// std::bad_alloc.
+std::string renderNote(const GetReport&);
+
 // Returns the report as one JSON object with the member "exitCode". Linear in its size; may throw
 // std::bad_alloc.
 std::string renderJson(const Report&);
--- a/packages/ctl/src/Observe.cpp
+++ b/packages/ctl/src/Observe.cpp
@@ -3,6 +3,7 @@
 #include "flamingowick/ctl/detail/DaemonAnswers.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 
 namespace flamingowick::ctl {
@@ -63,13 +64,50 @@
         return StoredStatusReport { configuration::combineStatus(statuses) };
     }
 
-    // The order of daemons' failures by what they tell: an answer tells more than none.
+    // A daemon to ask, and how many of the daemons name its VM as the service's dispatcher.
+    struct Candidate {
+        std::string address;
+        std::string vm;
+        std::size_t votes { 0 };
+    };
+
+    // Returns the daemons in the order in which to ask them: dispatchers that many name come first, since
+    // a daemon that was the dispatcher once may still explain what it saw then.
+    std::vector<Candidate> orderByDispatcher(const Ports& ports, std::string_view service, std::span<const std::string> daemons)
+    {
+        std::vector<Candidate> candidates;
+        std::map<std::string, std::size_t> votes;
+        for (const std::string& address : daemons) {
+            DaemonStatusAnswer answer = askStatus(ports, address);
+            candidates.push_back({ address, answer.daemon.vm, 0 });
+            auto found = std::ranges::find(answer.services, service, &DaemonServiceStatus::name);
+            if (found != answer.services.end())
+                ++votes[found->dispatcher];
+        }
+        for (Candidate& candidate : candidates) {
+            auto found = votes.find(candidate.vm);
+            candidate.votes = found == votes.end() ? 0 : found->second;
+        }
+        std::ranges::stable_sort(candidates, std::greater(), &Candidate::votes);
+        return candidates;
+    }
+
+    // Keeps the failure that tells more: an answer tells more than none.
     void keepTelling(FailureReport& kept, FailureReport next)
     {
         if (kept.exitCode == ExitCode::Unreachable || next.exitCode != ExitCode::Unreachable)
             kept = std::move(next);
     }
 
+    FailureReport explainFailure(const std::string& address, std::string_view service, const DaemonAnswer& answer)
+    {
+        if (answer.status != httpNotFound)
+            return failureOf(address, answer);
+        if (auto dispatcher = parseDispatcher(answer.body))
+            return { ExitCode::Failure, "none of the daemons knows the target; the service's dispatcher is on VM " + *dispatcher };
+        return { ExitCode::Failure, "there is no service \"" + std::string(service) + "\"" };
+    }
+
 }
 
 Report status(const Ports& ports, std::span<const std::string> daemons)
@@ -94,25 +132,22 @@
 
 Report explain(const Ports& ports, std::string_view service, std::string_view target, std::span<const std::string> daemons)
 {
-    FailureReport failure { ExitCode::BadInput, "explain asks daemons: give their addresses with --daemons" };
-    if (!daemons.empty())
-        failure.exitCode = ExitCode::Unreachable;
-    for (const std::string& address : daemons) {
-        DaemonAnswer answer = ports.getFromDaemon(address, explainPath(service, target));
-        if (answer.status == httpOk) {
-            if (auto report = parseExplanation(answer.body)) {
-                report->service = service;
-                report->source = address;
-                return *report;
-            }
-            keepTelling(failure, { ExitCode::Failure, address + " gave an answer that can't be read" });
-        } else if (auto dispatcher = answer.status == httpNotFound ? parseDispatcher(answer.body) : std::nullopt) {
-            keepTelling(failure, { ExitCode::Failure, "none of the daemons knows the target; the service's dispatcher is on VM " + *dispatcher });
-        } else if (answer.status == httpNotFound) {
-            keepTelling(failure, { ExitCode::Failure, "there is no service \"" + std::string(service) + "\"" });
-        } else {
-            keepTelling(failure, failureOf(address, answer));
+    if (daemons.empty())
+        return FailureReport { ExitCode::BadInput, "explain asks daemons: give their addresses with --daemons" };
+    FailureReport failure { ExitCode::Unreachable, "" };
+    for (const Candidate& candidate : orderByDispatcher(ports, service, daemons)) {
+        DaemonAnswer answer = ports.getFromDaemon(candidate.address, explainPath(service, target));
+        if (answer.status != httpOk) {
+            keepTelling(failure, explainFailure(candidate.address, service, answer));
+            continue;
+        }
+        if (auto report = parseExplanation(answer.body)) {
+            report->service = service;
+            report->source = candidate.address;
+            report->fromDispatcher = candidate.votes > 0;
+            return *report;
         }
+        keepTelling(failure, { ExitCode::Failure, candidate.address + " gave an answer that can't be read" });
     }
     return failure;
 }
--- a/packages/ctl/src/RenderJson.cpp
+++ b/packages/ctl/src/RenderJson.cpp
@@ -134,7 +134,7 @@
 
     Json toJson(const ExplainReport& report)
     {
-        Json json { { "service", report.service }, { "target", report.target }, { "source", report.source }, { "standing", report.standing }, { "share", report.share },
+        Json json { { "service", report.service }, { "target", report.target }, { "source", report.source }, { "fromDispatcher", report.fromDispatcher }, { "standing", report.standing }, { "share", report.share },
             { "heldBackByFloor", report.heldBackByFloor }, { "sharedCause", report.sharedCause }, { "observers", report.observers }, { "threshold", report.threshold } };
         json["evidence"] = Json::array();
         for (const EvidenceCount& evidence : report.evidence)
--- a/packages/ctl/src/RenderText.cpp
+++ b/packages/ctl/src/RenderText.cpp
@@ -177,7 +177,8 @@
         text += "Evidence now, from " + std::to_string(report.observers) + " daemons:\n";
         for (const EvidenceCount& evidence : report.evidence)
             text += "    " + describeEvidence(evidence, report.threshold) + "\n";
-        return text + "Explained by the daemon at " + printable(report.source) + ".\n";
+        const std::string_view role = report.fromDispatcher ? ", the service's dispatcher.\n" : ", which isn't the service's dispatcher now.\n";
+        return text + "Explained by the daemon at " + printable(report.source) + std::string(role);
     }
 
 }
@@ -187,4 +188,12 @@
     return std::visit([](const auto& each) { return render(each); }, report);
 }
 
+std::string renderNote(const GetReport& report)
+{
+    std::string text = printable(report.service) + " from " + printable(report.source) + ": ";
+    if (!report.storedVersion.empty())
+        text += "stored as version " + printable(report.storedVersion) + by(report.storedBy) + ", ";
+    return text + "accepted version " + std::to_string(report.acceptedVersion) + (report.deleted ? ", withdrawn" : "") + "\n";
+}
+
 }
--- a/packages/ctl/tests/unit-apply.cpp
+++ b/packages/ctl/tests/unit-apply.cpp
@@ -112,6 +112,11 @@
     return facts.stored == StoredState::Foreign ? WriteStep::Conflict : nextWriteStep(facts);
 }
 
+WriteStep takeStillAbsentForNotCreated(const WriteFacts& facts) noexcept
+{
+    return facts.stored == StoredState::StillAbsent ? WriteStep::WriteAgain : nextWriteStep(facts);
+}
+
 WriteStep takeLostAnswerForWritten(const WriteFacts& facts) noexcept
 {
     return facts.answer == WriteAnswer::Unknown ? WriteStep::Applied : nextWriteStep(facts);
@@ -246,6 +251,11 @@
     CHECK(countLies({ takeForeignForNeverWritten }, plainPorts, schedules) > 0);
 }
 
+TEST(Apply, ChecksFindAToolThatCreatesAgainWhatWasRemoved)
+{
+    CHECK(countLies({ takeStillAbsentForNotCreated }, plainPorts, schedules) > 0);
+}
+
 TEST(Apply, ChecksFindAToolThatTakesALostAnswerForWritten)
 {
     CHECK(countLies({ takeLostAnswerForWritten }, plainPorts, schedules) > 0);
--- a/packages/ctl/tests/unit-commands.cpp
+++ b/packages/ctl/tests/unit-commands.cpp
@@ -138,6 +138,18 @@
     CHECK(says(report, "set for 20 s"));
 }
 
+TEST(Commands, ExplainAsksTheDispatcherBeforeOneThatWasDispatcherOnce)
+{
+    for (const std::string vm : { "vm-1", "vm-2" }) {
+        const std::string address = vm == "vm-1" ? "a:1" : "b:2";
+        this->platform.daemonAnswers[address + "/status"] = { 200, statusBody(vm, 4, ""), "" };
+        this->platform.daemonAnswers[address + "/explain?service=ledger&target=127.0.0.1:9"] = { 200, std::string(explanationBody), "" };
+    }
+    Report report = explain(this->platform.ports(), "ledger", "127.0.0.1:9", twoDaemons);
+    STRCMP_EQUAL("b:2", std::get<ExplainReport>(report).source.c_str());
+    CHECK(std::get<ExplainReport>(report).fromDispatcher);
+}
+
 TEST(Commands, ExplainNamesTheDispatcherThatWasNotAsked)
 {
     this->platform.daemonAnswers["a:1/explain?service=ledger&target=x"] = { 404, R"({"dispatcher": "vm-7"})", "" };
