ctl: report wrong flags as bad usage with exit code 2

gflags ends the process with code 1 by itself when a flag is wrong, which automation would take for a failure of the call. Flags are now set one by one and every wrong one is reported by the tool.

Tried by hand: wrong flag, wrong value, missing value, missing file and wrong output give 2.

--- a/packages/ctl/app/flamingowickctl.cpp
+++ b/packages/ctl/app/flamingowickctl.cpp
@@ -16,11 +16,6 @@
 
 // The operators' tool.
 
-// gflags exports this but declares it in no public header.
-namespace GFLAGS_NAMESPACE {
-extern void (*gflags_exitfunc)(int);
-}
-
 DEFINE_string(platform, "", "Base address of the platform's object API, as http://ip:port.");
 DEFINE_string(daemons, "", "Administration addresses of daemons, as ip:port,ip:port.");
 DEFINE_string(daemon, "", "Administration address of one daemon; as --daemons.");
@@ -147,7 +142,7 @@
     return ctl::apply(ports, makeApplyRequest(file));
 }
 
-ctl::Report runCommand(std::span<char*> words)
+ctl::Report runCommand(std::span<const std::string> words)
 {
     if (words.empty())
         throw UsageError { "no command" };
@@ -181,9 +176,45 @@
     return static_cast<int>(ctl::exitCodeOf(report));
 }
 
-int run(std::span<char*> words)
+// Sets a flag. gflags would end the process with a code of its own on a wrong one.
+void setFlag(std::string name, const std::string& value)
+{
+    std::ranges::replace(name, '-', '_');
+    gflags::CommandLineFlagInfo info;
+    const bool isOurs = gflags::GetCommandLineFlagInfo(name.c_str(), &info) && info.filename.ends_with("flamingowickctl.cpp");
+    if (!isOurs || gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty())
+        throw UsageError { "unknown flag --" + name + ", or a value that doesn't fit" };
+}
+
+// Sets the flags, all of which take a value, and returns the other words.
+std::vector<std::string> parseArguments(std::span<char*> arguments)
 {
+    std::vector<std::string> words;
+    for (std::size_t index = 0; index < arguments.size(); ++index) {
+        const std::string argument = arguments[index];
+        if (!argument.starts_with("-")) {
+            words.push_back(argument);
+            continue;
+        }
+        std::string name = argument.substr(argument.starts_with("--") ? 2 : 1);
+        if (const auto equals = name.find('='); equals != std::string::npos)
+            setFlag(name.substr(0, equals), name.substr(equals + 1));
+        else if (++index < arguments.size())
+            setFlag(name, arguments[index]);
+        else
+            throw UsageError { "flag --" + name + " has no value" };
+    }
+    return words;
+}
+
+int run(std::span<char*> arguments)
+{
+    if (std::ranges::any_of(arguments, [](std::string_view word) { return word == "--help" || word == "-h"; })) {
+        std::cout << usage;
+        return 0;
+    }
     try {
+        const std::vector<std::string> words = parseArguments(arguments);
         if (FLAGS_output != "text" && FLAGS_output != "json")
             throw UsageError { "--output must be text or json" };
         return show(runCommand(words));
@@ -202,15 +233,5 @@
 
 int main(int argc, char** argv)
 {
-    const std::span<char*> all(argv, static_cast<std::size_t>(argc));
-    if (std::ranges::any_of(all.subspan(1), [](std::string_view word) { return word == "--help" || word == "-help"; })) {
-        std::cout << usage;
-        return 0;
-    }
-    // gflags ends the process by itself when a flag is wrong.
-    GFLAGS_NAMESPACE::gflags_exitfunc = [](int) { std::exit(static_cast<int>(ctl::ExitCode::BadInput)); };
-    gflags::SetUsageMessage(std::string(usage));
-    gflags::SetVersionString("0.1.0");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
     return run(std::span(argv, static_cast<std::size_t>(argc)).subspan(1));
 }
