--- a/packages/configuration/include/flamingowick/configuration/OperatorText.h
+++ b/packages/configuration/include/flamingowick/configuration/OperatorText.h
@@ -4,6 +4,7 @@
 #include "flamingowick/configuration/Documents.h"
 #include "flamingowick/configuration/FleetStatus.h"
 
+#include <cstdint>
 #include <span>
 #include <string>
 
@@ -11,6 +12,9 @@
 // as '?'. All functions are linear in their input and may throw std::bad_alloc.
 namespace flamingowick::configuration {
 
+// Returns a time, in milliseconds since the Unix epoch, as "YYYY-MM-DD hh:mm:ss.mmm" in UTC.
+std::string renderUtcTime(std::int64_t milliseconds);
+
 // Returns a block for each change: the side and the pointer, then the values that differ from the
 // base.
 std::string renderChanges(std::span<const DocumentChange>);
--- a/packages/configuration/src/OperatorText.cpp
+++ b/packages/configuration/src/OperatorText.cpp
@@ -37,20 +37,6 @@
         return "    " + std::string(label) + ": " + (value.empty() ? "(absent)" : printable(value)) + "\n";
     }
 
-    // Returns "YYYY-MM-DD hh:mm:ss.mmm".
-    std::string utcTime(std::int64_t milliseconds)
-    {
-        constexpr std::int64_t msPerSecond = 1000;
-        const auto seconds = static_cast<std::time_t>(milliseconds / msPerSecond);
-        std::tm parts {};
-        gmtime_r(&seconds, &parts);
-        std::array<char, 32> date {};
-        const std::size_t length = std::strftime(date.data(), date.size(), "%Y-%m-%d %H:%M:%S", &parts);
-        std::string fraction = std::to_string(milliseconds % msPerSecond);
-        fraction.insert(0, 3 - std::min<std::size_t>(3, fraction.size()), '0');
-        return std::string(date.data(), length) + "." + fraction;
-    }
-
     std::string versionsOf(const AuditEntry& entry)
     {
         if (!entry.accepted)
@@ -60,6 +46,19 @@
 
 }
 
+std::string renderUtcTime(std::int64_t milliseconds)
+{
+    constexpr std::int64_t msPerSecond = 1000;
+    const auto seconds = static_cast<std::time_t>(milliseconds / msPerSecond);
+    std::tm parts {};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> date {};
+    const std::size_t length = std::strftime(date.data(), date.size(), "%Y-%m-%d %H:%M:%S", &parts);
+    std::string fraction = std::to_string(milliseconds % msPerSecond);
+    fraction.insert(0, 3 - std::min<std::size_t>(3, fraction.size()), '0');
+    return std::string(date.data(), length) + "." + fraction;
+}
+
 std::string renderChanges(std::span<const DocumentChange> changes)
 {
     std::string output;
@@ -79,7 +78,7 @@
     std::string output;
     for (const AuditEntry& entry : entries) {
         const std::string who = entry.who.empty() ? "(unknown)" : printable(entry.who);
-        output += utcTime(entry.whenMs) + "  " + who + "  " + versionsOf(entry) + "  " + printable(entry.changeId) + "\n";
+        output += renderUtcTime(entry.whenMs) + "  " + who + "  " + versionsOf(entry) + "  " + printable(entry.changeId) + "\n";
         for (const Finding& finding : entry.findings)
             output += "    line " + std::to_string(finding.line) + " " + printable(finding.pointer) + ": " + printable(finding.message) + "\n";
     }
--- a/packages/ctl/include/flamingowick/ctl/Reports.h
+++ b/packages/ctl/include/flamingowick/ctl/Reports.h
@@ -138,7 +138,7 @@
     double total { 0 };
 };
 
-// An ejection that is remembered. Times are on the dispatcher's steady clock.
+// An ejection that is remembered. Times are in milliseconds since the Unix epoch.
 struct EjectionSummary {
     std::int64_t ejectedAtMs { 0 };
     std::int64_t untilMs { 0 };
@@ -163,8 +163,6 @@
     unsigned observers { 0 };
     std::vector<EvidenceCount> evidence;
     std::optional<EjectionSummary> ejection;
-    // The dispatcher's steady clock when it answered, if it said so.
-    std::optional<std::int64_t> nowMs;
 };
 
 using Report = std::variant<FailureReport, ValidateReport, DiffReport, ApplyReport, GetReport,
--- a/packages/ctl/src/DaemonAnswers.cpp
+++ b/packages/ctl/src/DaemonAnswers.cpp
@@ -80,8 +80,6 @@
             report.evidence.push_back(readEvidence(evidence, symptom));
         if (json.contains("ejection"))
             report.ejection = readEjection(json.at("ejection"));
-        if (json.contains("nowMs"))
-            report.nowMs = json.at("nowMs").get<std::int64_t>();
         return report;
     }
 
--- a/packages/ctl/src/RenderJson.cpp
+++ b/packages/ctl/src/RenderJson.cpp
@@ -143,8 +143,6 @@
             json["ejection"] = { { "ejectedAtMs", report.ejection->ejectedAtMs }, { "untilMs", report.ejection->untilMs }, { "repeats", report.ejection->repeats },
                 { "threshold", report.ejection->threshold }, { "reason", toJson(report.ejection->reason) } };
         }
-        if (report.nowMs)
-            json["nowMs"] = *report.nowMs;
         return json;
     }
 
--- a/packages/ctl/src/RenderText.cpp
+++ b/packages/ctl/src/RenderText.cpp
@@ -137,7 +137,7 @@
             return "is on trial after an ejection and gets single idempotent requests";
         if (report.standing == "ramp")
             return "is coming back and gets " + decimal(report.share) + " of its ordinary share";
-        return "is healthy and gets " + (report.share < 1 ? decimal(report.share) + " of" : std::string()) + (report.share < 1 ? " " : "") + "its ordinary share";
+        return "is healthy and gets " + (report.share < 1 ? decimal(report.share) + " of " : std::string()) + "its ordinary share";
     }
 
     std::string describeSymptom(const std::string& symptom)
@@ -159,9 +159,9 @@
     {
         const EjectionSummary& ejection = *report.ejection;
         std::string text = "It was ejected for " + describeEvidence(ejection.reason, ejection.threshold) + ".\n";
-        text += "The ejection was set for " + decimal(static_cast<double>(ejection.untilMs - ejection.ejectedAtMs) / msPerSecond) + " s";
-        if (report.nowMs)
-            text += ", of which " + decimal(static_cast<double>(std::max<std::int64_t>(0, ejection.untilMs - *report.nowMs)) / msPerSecond) + " s are left";
+        text += "The ejection began at " + configuration::renderUtcTime(ejection.ejectedAtMs) + " and was set until "
+            + configuration::renderUtcTime(ejection.untilMs) + " UTC, for ";
+        text += decimal(static_cast<double>(ejection.untilMs - ejection.ejectedAtMs) / msPerSecond) + " s";
         return text + "; ejections counted before it: " + std::to_string(ejection.repeats) + ".\n";
     }
 
--- a/packages/ctl/tests/unit-commands.cpp
+++ b/packages/ctl/tests/unit-commands.cpp
@@ -135,7 +135,7 @@
     LONGS_EQUAL(0, codeOf(report));
     CHECK(says(report, "is ejected and gets no requests"));
     CHECK(says(report, "12 bad of 30 requests, score 9.5 against the threshold 7.5"));
-    CHECK(says(report, "set for 20 s"));
+    CHECK(says(report, "until 1970-01-01 00:00:21.000 UTC, for 20 s"));
 }
 
 TEST(Commands, ExplainAsksTheDispatcherBeforeOneThatWasDispatcherOnce)
