--- a/packages/ctl/include/flamingowick/ctl/Reports.h
+++ b/packages/ctl/include/flamingowick/ctl/Reports.h
@@ -82,6 +82,8 @@
     // The platform's version, for --expect-version; empty from a daemon.
     std::string storedVersion;
     std::string storedBy;
+    // As apply reports it; empty from a daemon.
+    std::string changeId;
     // The operator's text from the platform, the accepted text from a daemon.
     std::string text;
     std::uint64_t acceptedVersion { 0 };
--- a/packages/ctl/src/Documents.cpp
+++ b/packages/ctl/src/Documents.cpp
@@ -95,7 +95,7 @@
         auto accepted = readAccepted(ports, service);
         if (auto* failure = std::get_if<FailureReport>(&accepted))
             return *failure;
-        GetReport report { std::string(service), std::string(platformSource), source->resourceVersion, source->changedBy, sourceText(*source), 0, false };
+        GetReport report { std::string(service), std::string(platformSource), source->resourceVersion, source->changedBy, source->changeId, sourceText(*source), 0, false };
         if (const auto& document = std::get<std::optional<configuration::AcceptedDocument>>(accepted)) {
             report.acceptedVersion = document->version;
             report.deleted = document->deleted;
@@ -143,7 +143,7 @@
     if (auto* failure = std::get_if<FailureReport>(&answer))
         return *failure;
     const DaemonDocument& document = std::get<DaemonDocument>(answer);
-    return GetReport { std::string(service), document.address, "", "", document.text, document.version, document.deleted };
+    return GetReport { std::string(service), document.address, "", "", "", document.text, document.version, document.deleted };
 }
 
 Report history(const Ports& ports, std::string_view service, std::span<const std::string> daemons)
--- a/packages/ctl/src/RenderJson.cpp
+++ b/packages/ctl/src/RenderJson.cpp
@@ -85,7 +85,7 @@
 
     Json toJson(const GetReport& report)
     {
-        return { { "service", report.service }, { "source", report.source }, { "storedVersion", report.storedVersion }, { "storedBy", report.storedBy },
+        return { { "service", report.service }, { "source", report.source }, { "storedVersion", report.storedVersion }, { "storedBy", report.storedBy }, { "changeId", report.changeId },
             { "acceptedVersion", report.acceptedVersion }, { "deleted", report.deleted }, { "text", report.text } };
     }
 
--- a/packages/ctl/src/RenderText.cpp
+++ b/packages/ctl/src/RenderText.cpp
@@ -78,7 +78,7 @@
         case ApplyOutcome::Pending:
             return stored + ", without a verdict of the fleet in time; look again with \"history\"";
         case ApplyOutcome::Unknown:
-            return "it is unknown whether the change took effect; look for its id with \"get\" and \"history\" before trying again";
+            return "it is unknown whether the change took effect; look with \"get\" whether the platform holds its id before trying again";
         }
         return "";
     }
@@ -192,7 +192,7 @@
 {
     std::string text = printable(report.service) + " from " + printable(report.source) + ": ";
     if (!report.storedVersion.empty())
-        text += "stored as version " + printable(report.storedVersion) + by(report.storedBy) + ", ";
+        text += "stored as version " + printable(report.storedVersion) + by(report.storedBy) + ", change id " + printable(report.changeId) + ", ";
     return text + "accepted version " + std::to_string(report.acceptedVersion) + (report.deleted ? ", withdrawn" : "") + "\n";
 }
 
