ctl: ask the daemon that has ejected the target for an explanation first

While two daemons take themselves for the dispatcher, one of them may have ejected a target that the other takes for healthy; a local fleet showed this. Also read back again when a refused write can't be read at once.

--- a/packages/ctl/include/flamingowick/ctl/Commands.h
+++ b/packages/ctl/include/flamingowick/ctl/Commands.h
@@ -30,8 +30,8 @@
 // status objects have it.
 Report status(const Ports&, std::span<const std::string> daemons);
 
-// Asks the daemons why a target is treated as it is, until one explains. Those that are named as the
-// service's dispatcher are asked first.
+// Asks the daemons why a target is treated as it is, until one explains. Those that say
+// that they have ejected it are asked first, then those that are named as the service's dispatcher.
 Report explain(const Ports&, std::string_view service, std::string_view target, std::span<const std::string> daemons);
 
 }
--- a/packages/ctl/src/Apply.cpp
+++ b/packages/ctl/src/Apply.cpp
@@ -224,7 +224,7 @@
     if (facts.stored == StoredState::NotRead)
         return WriteStep::ReadBack;
     if (!facts.anyUnknown)
-        return WriteStep::Conflict;
+        return facts.stored == StoredState::Unreadable && facts.timeLeft ? WriteStep::ReadBack : WriteStep::Conflict;
     // The write may have taken effect before the other change replaced it.
     if (facts.stored == StoredState::Foreign || !facts.timeLeft)
         return WriteStep::Unknown;
--- a/packages/ctl/src/Observe.cpp
+++ b/packages/ctl/src/Observe.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <utility>
 
 namespace flamingowick::ctl {
 
@@ -68,27 +69,34 @@
     struct Candidate {
         std::string address;
         std::string vm;
+        // It says that it has ejected the target.
+        bool ejects { false };
         std::size_t votes { 0 };
+
+        auto rank() const { return std::pair(this->ejects, this->votes); }
     };
 
-    // Returns the daemons in the order in which to ask them: dispatchers that many name come first, since
-    // a daemon that was the dispatcher once may still explain what it saw then.
-    std::vector<Candidate> orderByDispatcher(const Ports& ports, std::string_view service, std::span<const std::string> daemons)
+    // Returns the daemons in the order in which to ask them. Those that have ejected the target come first:
+    // while members change there may be two dispatchers, of which one has. Then come dispatchers that many
+    // name, since a daemon that was the dispatcher once may still explain what it saw then.
+    std::vector<Candidate> orderForExplain(const Ports& ports, std::string_view service, std::string_view target, std::span<const std::string> daemons)
     {
         std::vector<Candidate> candidates;
         std::map<std::string, std::size_t> votes;
         for (const std::string& address : daemons) {
             DaemonStatusAnswer answer = askStatus(ports, address);
-            candidates.push_back({ address, answer.daemon.vm, 0 });
+            candidates.push_back({ address, answer.daemon.vm, false, 0 });
             auto found = std::ranges::find(answer.services, service, &DaemonServiceStatus::name);
-            if (found != answer.services.end())
-                ++votes[found->dispatcher];
+            if (found == answer.services.end())
+                continue;
+            ++votes[found->dispatcher];
+            candidates.back().ejects = std::ranges::find(found->ejected, target) != found->ejected.end();
         }
         for (Candidate& candidate : candidates) {
             auto found = votes.find(candidate.vm);
             candidate.votes = found == votes.end() ? 0 : found->second;
         }
-        std::ranges::stable_sort(candidates, std::greater(), &Candidate::votes);
+        std::ranges::stable_sort(candidates, std::greater(), &Candidate::rank);
         return candidates;
     }
 
@@ -135,7 +143,7 @@
     if (daemons.empty())
         return FailureReport { ExitCode::BadInput, "explain asks daemons: give their addresses with --daemons" };
     FailureReport failure { ExitCode::Unreachable, "" };
-    for (const Candidate& candidate : orderByDispatcher(ports, service, daemons)) {
+    for (const Candidate& candidate : orderForExplain(ports, service, target, daemons)) {
         DaemonAnswer answer = ports.getFromDaemon(candidate.address, explainPath(service, target));
         if (answer.status != httpOk) {
             keepTelling(failure, explainFailure(candidate.address, service, answer));
--- a/packages/ctl/src/RenderText.cpp
+++ b/packages/ctl/src/RenderText.cpp
@@ -72,7 +72,7 @@
         case ApplyOutcome::Refused:
             return stored + ", refused by the fleet; the last accepted document stays in force";
         case ApplyOutcome::Conflict:
-            return "not written: the platform holds " + (report.storedVersion.empty() ? "no document" : "version " + printable(report.storedVersion) + by(report.storedBy));
+            return "not written: the platform holds " + (report.storedVersion.empty() ? "none, or it could not be read" : "version " + printable(report.storedVersion) + by(report.storedBy));
         case ApplyOutcome::Superseded:
             return stored + ", replaced by another change before the fleet's verdict was seen";
         case ApplyOutcome::Pending:
--- a/packages/ctl/tests/unit-commands.cpp
+++ b/packages/ctl/tests/unit-commands.cpp
@@ -150,6 +150,16 @@
     CHECK(std::get<ExplainReport>(report).fromDispatcher);
 }
 
+TEST(Commands, ExplainAsksTheDaemonThatHasEjectedTheTargetFirst)
+{
+    this->platform.daemonAnswers["a:1/status"] = { 200, statusBody("vm-1", 4, R"("127.0.0.1:9")"), "" };
+    this->platform.daemonAnswers["b:2/status"] = { 200, statusBody("vm-2", 4, ""), "" };
+    this->platform.daemonAnswers["a:1/explain?service=ledger&target=127.0.0.1:9"] = { 200, std::string(explanationBody), "" };
+    this->platform.daemonAnswers["b:2/explain?service=ledger&target=127.0.0.1:9"] = { 200, std::string(explanationBody), "" };
+    Report report = explain(this->platform.ports(), "ledger", "127.0.0.1:9", twoDaemons);
+    STRCMP_EQUAL("a:1", std::get<ExplainReport>(report).source.c_str());
+}
+
 TEST(Commands, ExplainNamesTheDispatcherThatWasNotAsked)
 {
     this->platform.daemonAnswers["a:1/explain?service=ledger&target=x"] = { 404, R"({"dispatcher": "vm-7"})", "" };
