Don't hand key ranges back to the daemon that gave them up

Cause: a daemon that shuts down stays in the others' member lists until it is idle, and the placement of its successors prefers it, so they handed its ranges back. A range that named it when it ended was taken over without entries, and its keys were told "unknown". Ruled out: lost entries by message loss (loopback, acknowledged), takeovers by the platform's list (it showed all VMs throughout). Change: only a later life of the daemon that gave a range up gets it back.

--- a/packages/daemon/src/KeyService.cpp
+++ b/packages/daemon/src/KeyService.cpp
@@ -237,7 +237,9 @@
         std::string preferred(keys::preferredOwner(id, vms));
         const Member* successor = this->context.members.find(preferred);
         bool isOver = holding.status == keys::HoldingStatus::Active && successor != nullptr && preferred != this->context.self.vm;
-        if (isOver && (this->shuttingDown || wanted.size() < handOversAtOnce))
+        // The life that gave the range up is shutting down, though the members still show it.
+        bool goesBack = successor != nullptr && successor->id == holding.record.previous;
+        if (isOver && !(goesBack && !this->shuttingDown) && (this->shuttingDown || wanted.size() < handOversAtOnce))
             wanted.push_back({ id, successor->id });
     }
     for (const keys::HandOverWanted& event : wanted)
--- a/packages/daemon/tests/unit-core.cpp
+++ b/packages/daemon/tests/unit-core.cpp
@@ -1,6 +1,9 @@
 #include "FakePorts.h"
 
 #include "flamingowick/daemon/StoredForms.h"
+#include "flamingowick/keys/Placement.h"
+
+#include <algorithm>
 
 // Last: its macros for new would break the other headers.
 #include <CppUTest/TestHarness.h>
@@ -123,6 +126,28 @@
         }
     }
 
+    // Hands this daemon a range that the placement would give to the sender, vm-2.
+    void takeRangeFrom(const DaemonId& sender)
+    {
+        std::vector<std::string> vms { this->self.vm, sender.vm };
+        keys::RangeRecord record { { "ledger", 0 }, this->self, sender, 2, "change", {} };
+        while (keys::preferredOwner(record.id, vms) != sender.vm)
+            ++record.id.range;
+        this->core->handle(peers::Envelope { sender, "127.0.0.1:2", 0, 0, keys::HandedRange { record.id, sender, 1, {}, {}, false, {}, 0, 0 } }, Clock::now());
+        this->core->handle(peers::Envelope { sender, "127.0.0.1:2", 0, 0, keys::OwnerAnnounced { record } }, Clock::now());
+        const auto& read = std::get<platform::Get>(this->ports.calls.back());
+        this->core->handle(platform::Result(platform::Found { read.id, { writeRecord(record, "5") }, "5" }), Clock::now());
+    }
+
+    // Counts the writes of key ranges' records that follow an earlier version.
+    std::size_t recordWrites() const
+    {
+        return static_cast<std::size_t>(std::count_if(this->ports.calls.begin(), this->ports.calls.end(), [](const platform::Call& call) {
+            const auto* put = std::get_if<platform::Put>(&call);
+            return put != nullptr && put->object.plural == platform::Plural::KeyRanges;
+        }));
+    }
+
     const peers::ForwardRequest& lastForward() const
     {
         return std::get<peers::ForwardRequest>(this->ports.last<peers::ForwardRequest>()->message);
@@ -236,3 +261,23 @@
     core->tick(Clock::now());
     CHECK(ports.finished);
 }
+
+TEST(Core, DoesNotHandARangeBackToTheDaemonThatGaveItUp)
+{
+    membership::Update update { { { "vm-2", 20 }, "b", "127.0.0.1:2" }, membership::Status::Alive, 0, {} };
+    core->handle(peers::Envelope { { "vm-2", 20 }, "127.0.0.1:2", 0, 0, membership::Message(membership::Ping { 1, {}, { update } }) }, Clock::now());
+    takeRangeFrom({ "vm-2", 20 });
+    Clock::advance(std::chrono::seconds(1));
+    core->tick(Clock::now());
+    CHECK_EQUAL(0U, recordWrites());
+}
+
+TEST(Core, HandsARangeToTheNextLifeOfTheDaemonThatGaveItUp)
+{
+    membership::Update update { { { "vm-2", 21 }, "b", "127.0.0.1:2" }, membership::Status::Alive, 0, {} };
+    core->handle(peers::Envelope { { "vm-2", 21 }, "127.0.0.1:2", 0, 0, membership::Message(membership::Ping { 1, {}, { update } }) }, Clock::now());
+    takeRangeFrom({ "vm-2", 20 });
+    Clock::advance(std::chrono::seconds(1));
+    core->tick(Clock::now());
+    CHECK_EQUAL(1U, recordWrites());
+}
