Be ready, and hand over key ranges, only when heartbeats have settled

Cause: a keyed request needs a settled heartbeat of the key's owner (1 s). Ruled out: daemons that are not ready (callers came only once /status said so). Change: a daemon is ready once it hears all members, after 10 s at the latest, and ranges go to members that have been heard for a second; at a shutdown to any other if none has.

--- a/packages/daemon/include/flamingowick/daemon/KeyService.h
+++ b/packages/daemon/include/flamingowick/daemon/KeyService.h
@@ -49,12 +49,22 @@
     // Returns true when this daemon runs no range any more, or can't hand over what it has.
     bool handedOver() const;
 
+    // Returns true once this daemon has heard every other one well enough to ask it about keys, or has
+    // waited for that as long as it may.
+    bool hearsOwners() const noexcept { return this->allHeard; }
+
     // Issues a key that names this daemon as its owner.
     std::string issueKey(TimePoint now);
 
     const keys::State& view() const noexcept { return this->state; }
 
 private:
+    // Since when the heartbeats of a member's life have been settled.
+    struct HeardMember {
+        Incarnation incarnation { 0 };
+        TimePoint since;
+    };
+
     template <typename Message>
     void sendTo(const DaemonId&, Message);
     template <typename Message>
@@ -75,6 +85,8 @@
     void carryOut(const keys::Announce&, TimePoint now);
     void carryOut(const keys::SendHeartbeat&, TimePoint now);
 
+    void noteHeard(TimePoint now);
+    std::vector<std::string> possibleOwners(TimePoint now) const;
     void claimRanges(TimePoint now);
     void handOverRanges(TimePoint now);
     std::vector<std::string> serviceNames() const;
@@ -84,6 +96,9 @@
     KeyNeighbours neighbours;
     keys::State state;
     TimePoint nextPlacement;
+    std::map<std::string, HeardMember> heardMembers;
+    std::optional<TimePoint> firstTick;
+    bool allHeard { false };
     bool shuttingDown { false };
 };
 
--- a/packages/daemon/src/Core.cpp
+++ b/packages/daemon/src/Core.cpp
@@ -143,7 +143,7 @@
 
 bool Core::ready() const
 {
-    return this->configurationService.ready() && !this->shutdownStarted;
+    return this->configurationService.ready() && this->keyService.hearsOwners() && !this->shutdownStarted;
 }
 
 void Core::tick(TimePoint now)
--- a/packages/daemon/src/KeyService.cpp
+++ b/packages/daemon/src/KeyService.cpp
@@ -12,6 +12,10 @@
     constexpr std::chrono::milliseconds placementInterval { 500 };
     // Ranges that one daemon hands over at a time when the placement prefers another owner.
     constexpr unsigned handOversAtOnce = 4;
+    // How long a member must have been heard here before it gets ranges, so that the others hear it too.
+    constexpr std::chrono::seconds successorAge { 1 };
+    // How long a daemon that starts waits to hear all others before it serves keys all the same.
+    constexpr std::chrono::seconds longestHearing { 10 };
 
     keys::WriteResult writeResult(const platform::Result& result)
     {
@@ -224,14 +228,46 @@
     }
 }
 
-// Hands ranges to the daemons that the placement prefers; while shutting down, to any other.
-void KeyService::handOverRanges(TimePoint now)
+// Notes which members' heartbeats have settled, and since when.
+void KeyService::noteHeard(TimePoint now)
 {
-    std::vector<std::string> vms;
+    this->firstTick = this->firstTick.value_or(now);
+    bool isEachHeard = true;
     for (const auto& [vm, member] : this->context.members.all()) {
-        if (!this->shuttingDown || vm != this->context.self.vm)
-            vms.push_back(vm);
+        auto stamps = this->state.entry.stamps.find(vm);
+        bool isHeard = stamps != this->state.entry.stamps.end() && stamps->second.incarnation == member.id.incarnation && stamps->second.usable;
+        isEachHeard = isEachHeard && isHeard;
+        HeardMember& heard = this->heardMembers[vm];
+        if (isHeard && heard.incarnation != member.id.incarnation)
+            heard = { member.id.incarnation, now };
     }
+    if (isEachHeard || now - *this->firstTick >= longestHearing)
+        this->allHeard = true;
+}
+
+// Returns the VMs that may get ranges; while shutting down, any other when none was heard for long.
+std::vector<std::string> KeyService::possibleOwners(TimePoint now) const
+{
+    std::vector<std::string> others;
+    std::vector<std::string> known;
+    for (const auto& [vm, member] : this->context.members.all()) {
+        if (vm == this->context.self.vm)
+            continue;
+        others.push_back(vm);
+        auto heard = this->heardMembers.find(vm);
+        if (heard != this->heardMembers.end() && heard->second.incarnation == member.id.incarnation && now - heard->second.since >= successorAge)
+            known.push_back(vm);
+    }
+    if (this->shuttingDown)
+        return known.empty() ? others : known;
+    known.push_back(this->context.self.vm);
+    return known;
+}
+
+// Hands ranges to the daemons that the placement prefers; while shutting down, to any other.
+void KeyService::handOverRanges(TimePoint now)
+{
+    std::vector<std::string> vms = this->possibleOwners(now);
     std::vector<keys::HandOverWanted> wanted;
     for (const auto& [id, holding] : this->state.holdings) {
         std::string preferred(keys::preferredOwner(id, vms));
@@ -249,6 +285,7 @@
 void KeyService::tick(TimePoint now)
 {
     this->handle(keys::Tick { readWallClock() }, now);
+    this->noteHeard(now);
     if (now < this->nextPlacement)
         return;
     this->nextPlacement = now + placementInterval;
--- a/packages/daemon/tests/unit-core.cpp
+++ b/packages/daemon/tests/unit-core.cpp
@@ -126,6 +126,24 @@
         }
     }
 
+    void join(const DaemonId& peer)
+    {
+        membership::Update update { { peer, "b", "127.0.0.1:2" }, membership::Status::Alive, 0, {} };
+        this->core->handle(peers::Envelope { peer, "127.0.0.1:2", 0, 0, membership::Message(membership::Ping { 1, {}, { update } }) }, Clock::now());
+    }
+
+    // Lets a peer's heartbeats be heard for as long as they need to count.
+    void hear(const DaemonId& peer)
+    {
+        for (int beat = 0; beat < 4; ++beat) {
+            this->core->handle(peers::Envelope { peer, "127.0.0.1:2", 0, 0, peers::KeyHeartbeat { Clock::now() } }, Clock::now());
+            this->core->handle(peers::Envelope { this->self, "127.0.0.1:1", 0, 0, peers::KeyHeartbeat { Clock::now() } }, Clock::now());
+            this->join(peer);
+            this->core->tick(Clock::now());
+            Clock::advance(std::chrono::milliseconds(600));
+        }
+    }
+
     // Hands this daemon a range that the placement would give to the sender, vm-2.
     void takeRangeFrom(const DaemonId& sender)
     {
@@ -264,20 +282,41 @@
 
 TEST(Core, DoesNotHandARangeBackToTheDaemonThatGaveItUp)
 {
-    membership::Update update { { { "vm-2", 20 }, "b", "127.0.0.1:2" }, membership::Status::Alive, 0, {} };
-    core->handle(peers::Envelope { { "vm-2", 20 }, "127.0.0.1:2", 0, 0, membership::Message(membership::Ping { 1, {}, { update } }) }, Clock::now());
+    join({ "vm-2", 20 });
+    hear({ "vm-2", 20 });
     takeRangeFrom({ "vm-2", 20 });
-    Clock::advance(std::chrono::seconds(1));
+    Clock::advance(std::chrono::seconds(2));
     core->tick(Clock::now());
     CHECK_EQUAL(0U, recordWrites());
 }
 
 TEST(Core, HandsARangeToTheNextLifeOfTheDaemonThatGaveItUp)
 {
-    membership::Update update { { { "vm-2", 21 }, "b", "127.0.0.1:2" }, membership::Status::Alive, 0, {} };
-    core->handle(peers::Envelope { { "vm-2", 21 }, "127.0.0.1:2", 0, 0, membership::Message(membership::Ping { 1, {}, { update } }) }, Clock::now());
+    join({ "vm-2", 21 });
+    hear({ "vm-2", 21 });
     takeRangeFrom({ "vm-2", 20 });
-    Clock::advance(std::chrono::seconds(1));
+    Clock::advance(std::chrono::seconds(2));
     core->tick(Clock::now());
     CHECK_EQUAL(1U, recordWrites());
 }
+
+TEST(Core, HandsNoRangeToADaemonWhoseHeartbeatsAreNew)
+{
+    join({ "vm-2", 21 });
+    takeRangeFrom({ "vm-2", 20 });
+    Clock::advance(std::chrono::seconds(2));
+    core->tick(Clock::now());
+    CHECK_EQUAL(0U, recordWrites());
+}
+
+TEST(Core, IsReadyOnlyOnceItHearsTheOwnersOfKeys)
+{
+    for (int second = 0; second < 7; ++second) {
+        join({ "vm-2", 20 });
+        core->tick(Clock::now());
+        Clock::advance(std::chrono::seconds(1));
+    }
+    CHECK(!core->ready());
+    hear({ "vm-2", 20 });
+    CHECK(core->ready());
+}
