--- a/packages/daemon/include/flamingowick/daemon/KeyService.h
+++ b/packages/daemon/include/flamingowick/daemon/KeyService.h
@@ -52,12 +52,22 @@
     // Returns true when this daemon runs no range any more, or can't hand over what it has.
     bool handedOver() const;
 
+    // Returns true once this daemon has heard every other one well enough to ask it about keys, or has
+    // waited for that as long as it may.
+    bool hearsOwners() const noexcept { return this->allHeard; }
+
     // Issues a key that names this daemon as its owner.
     std::string issueKey(TimePoint now);
 
     const keys::State& view() const noexcept { return this->state; }
 
 private:
+    // Since when the heartbeats of a member's life have been settled.
+    struct HeardMember {
+        Incarnation incarnation { 0 };
+        TimePoint since;
+    };
+
     template <typename Message>
     void sendTo(const DaemonId&, Message);
     template <typename Message>
@@ -78,6 +88,8 @@
     void carryOut(const keys::Announce&, TimePoint now);
     void carryOut(const keys::SendHeartbeat&, TimePoint now);
 
+    void noteHeard(TimePoint now);
+    std::vector<std::string> possibleOwners(TimePoint now) const;
     void claimRanges(TimePoint now);
     void handOverRanges(TimePoint now);
     std::vector<std::string> serviceNames() const;
@@ -89,6 +101,9 @@
     TimePoint nextTick;
     // When each range was last claimed in vain, so that its record is not read all the time.
     std::map<keys::RangeId, TimePoint> claimedAt;
+    std::map<std::string, HeardMember> heardMembers;
+    std::optional<TimePoint> firstTick;
+    bool allHeard { false };
     bool shuttingDown { false };
 };
 
--- a/packages/daemon/src/KeyService.cpp
+++ b/packages/daemon/src/KeyService.cpp
@@ -15,6 +15,10 @@
     constexpr std::chrono::seconds claimInterval { 5 };
     // Ranges that one daemon hands over at a time when the placement prefers another owner.
     constexpr unsigned handOversAtOnce = 4;
+    // How long a member must have been heard here before it gets ranges, so that the others hear it too.
+    constexpr std::chrono::seconds successorAge { 1 };
+    // How long a daemon that starts waits to hear all others before it serves keys all the same.
+    constexpr std::chrono::seconds longestHearing { 10 };
 
     keys::WriteResult writeResult(const platform::Result& result)
     {
@@ -237,20 +241,54 @@
     }
 }
 
-// Hands ranges to the daemons that the placement prefers; while shutting down, to any other.
-void KeyService::handOverRanges(TimePoint now)
+// Notes which members' heartbeats have settled, and since when.
+void KeyService::noteHeard(TimePoint now)
 {
-    std::vector<std::string> vms;
+    this->firstTick = this->firstTick.value_or(now);
+    bool isEachHeard = true;
+    for (const auto& [vm, member] : this->context.members.all()) {
+        auto stamps = this->state.entry.stamps.find(vm);
+        bool isHeard = stamps != this->state.entry.stamps.end() && stamps->second.incarnation == member.id.incarnation && stamps->second.usable;
+        isEachHeard = isEachHeard && isHeard;
+        HeardMember& heard = this->heardMembers[vm];
+        if (isHeard && heard.incarnation != member.id.incarnation)
+            heard = { member.id.incarnation, now };
+    }
+    if (isEachHeard || now - *this->firstTick >= longestHearing)
+        this->allHeard = true;
+}
+
+// Returns the VMs that may get ranges; while shutting down, any other when none was heard for long.
+std::vector<std::string> KeyService::possibleOwners(TimePoint now) const
+{
+    std::vector<std::string> others;
+    std::vector<std::string> known;
     for (const auto& [vm, member] : this->context.members.all()) {
-        if (!this->shuttingDown || vm != this->context.self.vm)
-            vms.push_back(vm);
+        if (vm == this->context.self.vm)
+            continue;
+        others.push_back(vm);
+        auto heard = this->heardMembers.find(vm);
+        if (heard != this->heardMembers.end() && heard->second.incarnation == member.id.incarnation && now - heard->second.since >= successorAge)
+            known.push_back(vm);
     }
+    if (this->shuttingDown)
+        return known.empty() ? others : known;
+    known.push_back(this->context.self.vm);
+    return known;
+}
+
+// Hands ranges to the daemons that the placement prefers; while shutting down, to any other.
+void KeyService::handOverRanges(TimePoint now)
+{
+    std::vector<std::string> vms = this->possibleOwners(now);
     std::vector<keys::HandOverWanted> wanted;
     for (const auto& [id, holding] : this->state.holdings) {
         std::string preferred(keys::preferredOwner(id, vms));
         const Member* successor = this->context.members.find(preferred);
         bool isOver = holding.status == keys::HoldingStatus::Active && successor != nullptr && preferred != this->context.self.vm;
-        if (isOver && (this->shuttingDown || wanted.size() < handOversAtOnce))
+        // The life that gave the range up is shutting down, though the members still show it.
+        bool goesBack = successor != nullptr && successor->id == holding.record.previous;
+        if (isOver && !(goesBack && !this->shuttingDown) && (this->shuttingDown || wanted.size() < handOversAtOnce))
             wanted.push_back({ id, successor->id });
     }
     for (const keys::HandOverWanted& event : wanted)
@@ -263,6 +301,7 @@
         return;
     this->nextTick = now + keyTickInterval;
     this->handle(keys::Tick { readWallClock() }, now);
+    this->noteHeard(now);
     if (!this->shuttingDown)
         this->claimRanges(now);
     this->handOverRanges(now);
--- a/packages/peers/src/PeerTransport.cpp
+++ b/packages/peers/src/PeerTransport.cpp
@@ -48,6 +48,20 @@
     struct Link {
         zmq::socket_t socket;
         zmq::socket_t monitor;
+
+        Link() = default;
+        Link(Link&&) = default;
+        Link& operator=(Link&&) = default;
+        Link(const Link&) = delete;
+        Link& operator=(const Link&) = delete;
+
+        // The socket must report to nobody before the reader of its reports is closed: ZeroMQ's thread
+        // would wait for that reader, and with it every other connection.
+        ~Link()
+        {
+            if (this->socket)
+                zmq_socket_monitor(this->socket.handle(), nullptr, 0);
+        }
     };
 
     class WakeEvent {
