--- a/packages/daemon/src/CoreMessages.cpp
+++ b/packages/daemon/src/CoreMessages.cpp
@@ -66,7 +66,7 @@
 
 void Core::receiveMessage(const peers::Envelope& envelope, peers::KeyHeartbeat& message, TimePoint now)
 {
-    this->keyService.handle(keys::HeartbeatReceived { envelope.from, message.stamp }, now);
+    this->keyService.handle(keys::HeartbeatReceived { envelope.from, message.stamp, message.wallMs }, now);
 }
 
 void Core::receiveMessage(const peers::Envelope&, peers::HealthSummary& message, TimePoint now)
--- a/packages/daemon/src/KeyService.cpp
+++ b/packages/daemon/src/KeyService.cpp
@@ -186,8 +186,8 @@
 
 void KeyService::carryOut(const keys::SendHeartbeat& action, TimePoint now)
 {
-    this->sendToAll(peers::KeyHeartbeat { action.stamp });
-    this->handle(keys::HeartbeatReceived { this->context.self, action.stamp }, now);
+    this->sendToAll(peers::KeyHeartbeat { action.stamp, action.wallMs });
+    this->handle(keys::HeartbeatReceived { this->context.self, action.stamp, action.wallMs }, now);
 }
 
 void KeyService::dispatched(const RequestId& id, Answer answer, TimePoint now)
--- a/packages/daemon/tests/unit-core.cpp
+++ b/packages/daemon/tests/unit-core.cpp
@@ -136,8 +136,8 @@
     void hear(const DaemonId& peer)
     {
         for (int beat = 0; beat < 4; ++beat) {
-            this->core->handle(peers::Envelope { peer, "127.0.0.1:2", 0, 0, peers::KeyHeartbeat { Clock::now() } }, Clock::now());
-            this->core->handle(peers::Envelope { this->self, "127.0.0.1:1", 0, 0, peers::KeyHeartbeat { Clock::now() } }, Clock::now());
+            this->core->handle(peers::Envelope { peer, "127.0.0.1:2", 0, 0, peers::KeyHeartbeat { Clock::now(), wallClockMilliseconds() } }, Clock::now());
+            this->core->handle(peers::Envelope { this->self, "127.0.0.1:1", 0, 0, peers::KeyHeartbeat { Clock::now(), wallClockMilliseconds() } }, Clock::now());
             this->join(peer);
             this->core->tick(Clock::now());
             Clock::advance(std::chrono::milliseconds(600));
@@ -151,7 +151,7 @@
         keys::RangeRecord record { { "ledger", 0 }, this->self, sender, 2, "change", {} };
         while (keys::preferredOwner(record.id, vms) != sender.vm)
             ++record.id.range;
-        this->core->handle(peers::Envelope { sender, "127.0.0.1:2", 0, 0, keys::HandedRange { record.id, sender, 1, {}, {}, false, {}, 0, 0 } }, Clock::now());
+        this->core->handle(peers::Envelope { sender, "127.0.0.1:2", 0, 0, keys::HandedRange { record.id, sender, 1, {}, {}, false, {}, {}, {}, 0 } }, Clock::now());
         this->core->handle(peers::Envelope { sender, "127.0.0.1:2", 0, 0, keys::OwnerAnnounced { record } }, Clock::now());
         const auto& read = std::get<platform::Get>(this->ports.calls.back());
         this->core->handle(platform::Result(platform::Found { read.id, { writeRecord(record, "5") }, "5" }), Clock::now());
--- a/packages/peers/include/flamingowick/peers/Message.h
+++ b/packages/peers/include/flamingowick/peers/Message.h
@@ -67,6 +67,8 @@
 // A daemon's own clock, by which the age of keyed requests is bounded.
 struct KeyHeartbeat {
     TimePoint stamp;
+    // The sender's wall clock at the stamp, in milliseconds since the Unix epoch.
+    std::int64_t wallMs { 0 };
 };
 
 // What a dispatcher has seen and decided about a service's targets.
--- a/packages/peers/src/Codec.cpp
+++ b/packages/peers/src/Codec.cpp
@@ -51,7 +51,11 @@
         void operator()(const HandedRangeAcknowledged& message) const { detail::toWire(message, *this->envelope.mutable_handed_range_acknowledged()); }
         void operator()(const keys::HandedEntryFinished& message) const { detail::toWire(message, *this->envelope.mutable_handed_entry_finished()); }
         void operator()(const keys::OwnerAnnounced& message) const { detail::toWire(message.record, *this->envelope.mutable_owner_announced()->mutable_record()); }
-        void operator()(const KeyHeartbeat& message) const { this->envelope.mutable_key_heartbeat()->set_stamp(message.stamp.time_since_epoch().count()); }
+        void operator()(const KeyHeartbeat& message) const
+        {
+            this->envelope.mutable_key_heartbeat()->set_stamp(message.stamp.time_since_epoch().count());
+            this->envelope.mutable_key_heartbeat()->set_wall_ms(message.wallMs);
+        }
         void operator()(const HealthSummary& message) const { detail::toWire(message, *this->envelope.mutable_health_summary()); }
         void operator()(const ServiceCrashReport& message) const { detail::toWire(message, *this->envelope.mutable_crash_report()); }
         void operator()(const ServiceQuarantine& message) const { detail::toWire(message, *this->envelope.mutable_quarantine_notice()); }
@@ -126,7 +130,7 @@
         case wire::Envelope::kOwnerAnnounced:
             return keys::OwnerAnnounced { detail::fromWire(envelope.owner_announced().record()) };
         case wire::Envelope::kKeyHeartbeat:
-            return KeyHeartbeat { TimePoint(Duration(envelope.key_heartbeat().stamp())) };
+            return KeyHeartbeat { TimePoint(Duration(envelope.key_heartbeat().stamp())), envelope.key_heartbeat().wall_ms() };
         default:
             return std::nullopt;
         }
