--- a/packages/ctl/tests/unit-apply.cpp
+++ b/packages/ctl/tests/unit-apply.cpp
@@ -1,6 +1,7 @@
 #include "Environment.h"
 #include "FakePlatform.h"
 
+#include "flamingowick/configuration/StoreText.h"
 #include "flamingowick/ctl/Apply.h"
 
 // Last: its macros for new would break the other headers.
@@ -229,6 +230,23 @@
     LONGS_EQUAL(4, static_cast<int>(exitCodeOf(report)));
 }
 
+TEST(Apply, ShowsTheFindingsOfAFleetThatRefuses)
+{
+    FakePlatform platform(1, { .fleetAway = 1 });
+    Ports ports = platform.ports();
+    ports.callPlatform = [&platform](const platform::Call& call) {
+        if (!platform.taken.empty()) {
+            configuration::AcceptedDocument document { "ledger", 0, 1, {}, "", false, {}, 0 };
+            document.audit.push_back({ 1, "", "amal", 0, 0, 0, false, "1", { { 106, "/x", 3, "no such field" } } });
+            platform.objects(platform::Plural::AcceptedDocuments)["ledger"].specJson = configuration::acceptedDocumentJson(document);
+        }
+        return platform.call(call);
+    };
+    Report report = apply(ports, makeRequest(makeText(2)));
+    LONGS_EQUAL(2, static_cast<int>(exitCodeOf(report)));
+    CHECK(renderText(report).find("ledger:3: [flamingowick.settings.106] /x") != std::string::npos);
+}
+
 TEST(Apply, TellsTheTruthOnRandomSchedules)
 {
     UNSIGNED_LONGS_EQUAL(0, countLies({}, plainPorts, schedules));
