--- a/packages/daemon/src/ListService.cpp
+++ b/packages/daemon/src/ListService.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds shareInterval { 500 };
+    constexpr std::chrono::seconds shareInterval { 2 };
 
 }
 
