Send to all members by one function

The key and the dispatch role each had the same loop. It stands beside the context that both share now; behaviour is the same. Run: the daemon's 14 tests, format, lint of the three sources.

--- a/packages/daemon/include/flamingowick/daemon/CoreContext.h
+++ b/packages/daemon/include/flamingowick/daemon/CoreContext.h
@@ -20,6 +20,10 @@
     CoreContext(DaemonSettings, const DaemonId&, Ports);
 };
 
+// Sends a message to every member but this daemon. Messages that can't be sent are dropped. Linear in
+// the members.
+void sendToAll(const CoreContext&, const peers::Message&);
+
 // Returns a time on a clock that the fleet's daemons share to within the error of their wall
 // clocks: the wall clock at the start, carried forward by the steady clock.
 TimePoint fleetTime(TimePoint now);
--- a/packages/daemon/include/flamingowick/daemon/DispatchService.h
+++ b/packages/daemon/include/flamingowick/daemon/DispatchService.h
@@ -92,7 +92,6 @@
     void carryOut(Group&, const dispatch::QuarantineNotice&, TimePoint now);
 
     void answer(const RequestId&, Answer);
-    void sendToAll(const peers::Message&);
     void sendSummaries(TimePoint now);
     void noteTargetState(Group&, const RunningAttempt&, const gateway::AttemptResult&, TimePoint now);
 
--- a/packages/daemon/include/flamingowick/daemon/KeyService.h
+++ b/packages/daemon/include/flamingowick/daemon/KeyService.h
@@ -70,8 +70,6 @@
 
     template <typename Message>
     void sendTo(const DaemonId&, Message);
-    template <typename Message>
-    void sendToAll(const Message&);
 
     void carryOut(const keys::AnswerCaller&, TimePoint now);
     void carryOut(const keys::Forward&, TimePoint now);
--- a/packages/daemon/src/CoreContext.cpp
+++ b/packages/daemon/src/CoreContext.cpp
@@ -24,6 +24,14 @@
 {
 }
 
+void sendToAll(const CoreContext& context, const peers::Message& message)
+{
+    for (const auto& [vm, member] : context.members.all()) {
+        if (vm != context.self.vm)
+            context.ports.sendPeer(member.peerAddress, member.id.incarnation, message);
+    }
+}
+
 TimePoint fleetTime(TimePoint now)
 {
     static const Duration offset = wallClockOffset();
--- a/packages/daemon/src/DispatchService.cpp
+++ b/packages/daemon/src/DispatchService.cpp
@@ -271,22 +271,14 @@
 void DispatchService::carryOut(Group& group, const dispatch::CrashReport& action, TimePoint)
 {
     this->context.metrics.count("flamingowick_crash_reports_total");
-    this->sendToAll(peers::ServiceCrashReport { group.dispatcher.document.name, action });
+    sendToAll(this->context, peers::ServiceCrashReport { group.dispatcher.document.name, action });
 }
 
 void DispatchService::carryOut(Group& group, const dispatch::QuarantineNotice& action, TimePoint)
 {
     telemetry::logWarning(telemetry::Part::Dispatch, "A request to " + group.dispatcher.document.name + " is quarantined: it crashed two targets.");
     this->context.metrics.count("flamingowick_quarantined_total");
-    this->sendToAll(peers::ServiceQuarantine { group.dispatcher.document.name, action });
-}
-
-void DispatchService::sendToAll(const peers::Message& message)
-{
-    for (const auto& [vm, member] : this->context.members.all()) {
-        if (vm != this->context.self.vm)
-            this->context.ports.sendPeer(member.peerAddress, member.id.incarnation, message);
-    }
+    sendToAll(this->context, peers::ServiceQuarantine { group.dispatcher.document.name, action });
 }
 
 // Sends each service's evidence to the daemons that would dispatch for it next.
@@ -380,7 +372,7 @@
     group.leavingTold.insert(attempt.target);
     dispatch::TargetLeaving leaving { attempt.target, 0 };
     this->run(group, leaving, now);
-    this->sendToAll(peers::LeavingNotice { attempt.service, leaving });
+    sendToAll(this->context, peers::LeavingNotice { attempt.service, leaving });
 }
 
 void DispatchService::answer(const RequestId& id, Answer answer)
--- a/packages/daemon/src/KeyService.cpp
+++ b/packages/daemon/src/KeyService.cpp
@@ -77,15 +77,6 @@
         this->notSent(message, Clock::now());
 }
 
-template <typename Message>
-void KeyService::sendToAll(const Message& message)
-{
-    for (const auto& [vm, member] : this->context.members.all()) {
-        if (vm != this->context.self.vm)
-            this->context.ports.sendPeer(member.peerAddress, member.id.incarnation, message);
-    }
-}
-
 void KeyService::notSent(const peers::Message& message, TimePoint now)
 {
     if (const auto* request = std::get_if<keys::KeyedRequest>(&message))
@@ -180,13 +171,13 @@
 
 void KeyService::carryOut(const keys::Announce& action, TimePoint now)
 {
-    this->sendToAll(keys::OwnerAnnounced { action.record });
+    sendToAll(this->context, keys::OwnerAnnounced { action.record });
     this->handle(keys::OwnerAnnounced { action.record }, now);
 }
 
 void KeyService::carryOut(const keys::SendHeartbeat& action, TimePoint now)
 {
-    this->sendToAll(peers::KeyHeartbeat { action.stamp, action.wallMs });
+    sendToAll(this->context, peers::KeyHeartbeat { action.stamp, action.wallMs });
     this->handle(keys::HeartbeatReceived { this->context.self, action.stamp, action.wallMs }, now);
 }
 
