Serve callers on the users' platform through granted slots

One daemon of a new data path: the entry holds the whole exchange with the target, a dispatcher for each group of a service's targets grants slots by datagram, and an entry that reaches no dispatcher decides with a pool of its own. Targets are believed sound or failing by a two-state hidden Markov model that counts attempts in flight as evidence. platform/ decodes the platform's names and formats.

--- a/cmake/FlamingowickPackage.cmake
+++ b/cmake/FlamingowickPackage.cmake
@@ -1,5 +1,6 @@
 # Helpers that give every package the same shape: one library, one test program.
 
+option(FLAMINGOWICK_TESTS "Build the tests" ON)
 option(FLAMINGOWICK_SANITIZE "Sanitizers to build with, as in -fsanitize=" "")
 
 add_library(flamingowick_options INTERFACE)
@@ -39,7 +40,7 @@
     target_link_libraries(flamingowick_${name} PUBLIC flamingowick::${dependency})
   endforeach()
   target_link_libraries(flamingowick_${name} PUBLIC ${ARG_LIBRARIES})
-  if(ARG_TESTS)
+  if(ARG_TESTS AND FLAMINGOWICK_TESTS)
     add_executable(flamingowick_${name}_tests ${ARG_TESTS})
     target_link_libraries(flamingowick_${name}_tests PRIVATE
       flamingowick::${name} ${ARG_TEST_LIBRARIES} CppUTest CppUTestExt rapidcheck)
--- a/packages/daemon/app/flamingowickd.cpp
+++ b/packages/daemon/app/flamingowickd.cpp
@@ -1,3 +1,4 @@
+#include "flamingowick/adapter/Run.h"
 #include "flamingowick/daemon/Daemon.h"
 #include "flamingowick/model/Error.h"
 #include "flamingowick/settings/DaemonSettingsText.h"
@@ -7,6 +8,7 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -15,6 +17,8 @@
 // The daemon that runs on each entry VM.
 
 DEFINE_string(settings, "", "File with the daemon's settings, JSON with comments.");
+DEFINE_string(settings_env, "", "Environment variable that holds the path of the settings file.");
+DEFINE_bool(platform, false, "Run on the users' platform, with the settings of deploy/settings.template.jsonc.");
 DEFINE_bool(check, false, "Check the settings, print findings and exit.");
 DEFINE_bool(debug, false, "Log debug lines too.");
 
@@ -70,6 +74,10 @@
     gflags::SetUsageMessage("flamingowickd --settings FILE: runs one daemon of the proxy fleet.");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (const char* path = FLAGS_settings_env.empty() ? nullptr : std::getenv(FLAGS_settings_env.c_str()))
+        FLAGS_settings = path;
+    if (FLAGS_platform)
+        return adapter::run(FLAGS_settings, FLAGS_check);
     std::string text;
     if (!readFile(FLAGS_settings, text)) {
         std::cerr << "flamingowickd: can't read settings file '" << FLAGS_settings << "'\n";
--- /dev/null
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "flamingowick/grants/Belief.h"
+#include "flamingowick/grants/RetryAllowance.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+// Who may send a request to which target of one service, and when. A dispatcher keeps one pool for a
+// service and sees all requests; an entry that reaches no dispatcher decides with a pool of its own.
+// Deterministic, without I/O.
+namespace flamingowick::grants {
+
+// One attempt: the entry that holds the caller's request, and a number that it doesn't use again.
+struct AttemptKey {
+    std::uint64_t entry { 0 };
+    std::uint64_t number { 0 };
+
+    auto operator<=>(const AttemptKey&) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+// A target as the platform lists it.
+struct ListedTarget {
+    // Names one life of the target.
+    std::string instance;
+    std::string address;
+    std::string failureDomain;
+    unsigned slots { 1 };
+    // Takes no new requests.
+    bool leaving { false };
+    // How much longer it is slow after its start.
+    Duration cold { 0 };
+};
+
+struct GrantRequest {
+    AttemptKey key;
+    // 0 is served first.
+    unsigned rank { 0 };
+    // An attempt beyond the request's first.
+    bool repeat { false };
+    // The attempt has to end by then.
+    TimePoint deadline;
+    // Within this time of its arrival the answer is worth most.
+    Duration objective { 0 };
+    // Failure domain of the entry.
+    std::string failureDomain;
+    // Instances that must not be chosen.
+    std::vector<std::string> avoid;
+    // Instances to which the entry holds an idle connection.
+    std::vector<std::string> warm;
+};
+
+enum class Verdict : std::uint8_t {
+    Granted,
+    Refused,
+};
+
+enum class RefusalReason : std::uint8_t {
+    None,
+    // The service has no target that may take requests.
+    NoTarget,
+    // No slot will be free in time.
+    NoRoom,
+    // Attempts beyond the first have used up their allowance.
+    NoRetry,
+};
+
+// Returns the reason as logs show it. Never throws.
+std::string_view toString(RefusalReason) noexcept;
+
+// The word on one request.
+struct Decision {
+    AttemptKey key;
+    Verdict verdict { Verdict::Granted };
+    // Instance of the target; empty when refused.
+    std::string instance;
+    RefusalReason reason { RefusalReason::None };
+    // When asking again is likely to succeed. Set when refused.
+    Duration retryAfter { 0 };
+    // Age at which an attempt without an answer is unusual. Set when granted.
+    Duration unusualAfter { 0 };
+    // What decided: probability that the target is failing, its requests in flight and the waiting
+    // requests.
+    double failing { 0 };
+    unsigned inFlight { 0 };
+    std::size_t waiting { 0 };
+};
+
+struct PoolLimits {
+    // Above this probability a target takes no work.
+    double quarantineAbove { 0.55 };
+    // Share of the targets that always stays eligible, however bad they look.
+    double floorShare { 0.5 };
+    // Requests that may wait for each slot.
+    unsigned waitingPerSlot { 8 };
+};
+
+struct PooledTarget {
+    ListedTarget listed;
+    Belief belief;
+    TimePoint coldUntil;
+    TimePoint lastGranted;
+    // Attempts in flight with their start.
+    std::map<AttemptKey, TimePoint> inFlight;
+};
+
+struct WaitingRequest {
+    GrantRequest request;
+    TimePoint since;
+};
+
+struct PoolEvents {
+    std::uint64_t granted { 0 };
+    std::uint64_t refused { 0 };
+    std::uint64_t quarantined { 0 };
+};
+
+struct TargetPool {
+    PoolLimits limits;
+    BeliefModel model;
+    LatencyProfile latency;
+    RetryAllowance retries;
+    std::map<std::string, PooledTarget, std::less<>> targets;
+    // Where each attempt runs.
+    std::map<AttemptKey, std::string> attempts;
+    // In the order in which they are served: by rank, then by arrival.
+    std::multimap<unsigned, WaitingRequest> waiting;
+    // Share of recent attempts that failed, to tell when the floor matters.
+    double failureShare { 0 };
+    PoolEvents events;
+};
+
+// Replaces the list of targets; what was learnt about those that stay is kept. Returns the decisions
+// that become possible. Linear in the targets and the waiting requests.
+std::vector<Decision> setTargets(TargetPool&, std::span<const ListedTarget>, TimePoint now);
+
+// Asks for a target. Returns this request's decision, or none while it waits. Asking again with the
+// same key, since an answer was lost, repeats the decision. Linear in the targets.
+std::vector<Decision> submit(TargetPool&, GrantRequest, TimePoint now);
+
+// Notes an attempt that was started without this pool's grant. Linear in the target's attempts.
+void noteStarted(TargetPool&, const AttemptKey&, std::string_view instance, TimePoint startedAt);
+
+// Takes in the end of an attempt, after which its slot is free. Ends of unknown attempts are ignored.
+std::vector<Decision> finish(TargetPool&, const AttemptKey&, Outcome, Duration lasted, TimePoint now);
+
+// Drops a request that waits; its entry no longer wants it.
+void withdraw(TargetPool&, const AttemptKey&);
+
+// Does what time calls for: refuses requests that can't be served in time any more and drops
+// attempts whose end was never reported. Linear in the waiting requests and attempts.
+std::vector<Decision> expire(TargetPool&, TimePoint now);
+
+// Returns when expire() is due, none while nothing waits. Linear in the waiting requests.
+std::optional<TimePoint> nextExpiry(const TargetPool&);
+
+// Returns the probability that a target is failing, its attempts in flight included. Linear in these.
+double failing(const TargetPool&, const PooledTarget&, TimePoint now);
+
+}
--- /dev/null
+++ b/packages/grants/src/Belief.cpp
@@ -0,0 +1,73 @@
+#include "flamingowick/grants/Belief.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingowick::grants {
+
+namespace {
+
+    // Likelihood ratios, failing over sound. Sound targets answer about one request in a hundred with
+    // an error; failing ones most.
+    constexpr double failedRatio = 14;
+    constexpr double brokenRatio = 14;
+    constexpr double unreachableRatio = 30;
+    // A full target sheds too.
+    constexpr double shedRatio = 3;
+    // Limits of certainty, so that later evidence can turn the verdict.
+    constexpr double leastProbability = 0.005;
+    constexpr double greatestProbability = 0.98;
+    // Weight of a slow answer: an answer slower than 49 in 50 counts against the target.
+    constexpr double slowWeight = 0.015;
+    constexpr double greatestSlowRatio = 3;
+    constexpr double greatestPendingRatio = 60;
+
+    double ratioOf(const BeliefModel& model, const LatencyProfile& profile, Outcome outcome, Duration lasted) noexcept
+    {
+        switch (outcome) {
+        case Outcome::Succeeded:
+            return std::min((1 - model.failureShare) + slowWeight / survival(profile, lasted), greatestSlowRatio);
+        case Outcome::Failed:
+            return failedRatio;
+        case Outcome::Broken:
+            return brokenRatio;
+        case Outcome::Unreachable:
+        case Outcome::Replaced:
+            return unreachableRatio;
+        case Outcome::Shed:
+            return shedRatio;
+        case Outcome::Hung:
+        case Outcome::Abandoned:
+            return pendingRatio(model, profile, lasted);
+        }
+        return 1;
+    }
+
+}
+
+double relaxed(const Belief& belief, const BeliefModel& model, TimePoint now) noexcept
+{
+    const double elapsed = std::max(0.0, std::chrono::duration<double>(now - belief.at).count());
+    const double time = std::chrono::duration<double>(model.relaxation).count();
+    return model.failingShare + (belief.failing - model.failingShare) * std::exp(-elapsed / time);
+}
+
+double pendingRatio(const BeliefModel& model, const LatencyProfile& profile, Duration age) noexcept
+{
+    const double sound = survival(profile, age);
+    return std::min((model.failureShare + (1 - model.failureShare) * sound) / sound, greatestPendingRatio);
+}
+
+double updated(double failing, double ratio) noexcept
+{
+    const double odds = failing / (1 - failing) * ratio;
+    return std::clamp(odds / (1 + odds), leastProbability, greatestProbability);
+}
+
+void observe(Belief& belief, const BeliefModel& model, const LatencyProfile& profile, Outcome outcome, Duration lasted, TimePoint now) noexcept
+{
+    belief.failing = updated(relaxed(belief, model, now), ratioOf(model, profile, outcome, lasted));
+    belief.at = now;
+}
+
+}
--- /dev/null
+++ b/packages/grants/src/TargetPool.cpp
@@ -0,0 +1,348 @@
+#include "flamingowick/grants/TargetPool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingowick::grants {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    // Weights of the placement, in units of the probability that a request is lost.
+    // A request shares its target's fate with the others in flight there.
+    constexpr double sharedFateWeight = 0.06;
+    // Targets slow down when they are nearly full.
+    constexpr double lastSlotWeight = 0.05;
+    // A target that has just started takes about twice as long.
+    constexpr double coldWeight = 0.15;
+    // Traffic between failure domains and new connections are priced.
+    constexpr double foreignDomainWeight = 0.01;
+    constexpr double newConnectionWeight = 0.03;
+    // Pulls a sound target back into use that had no request for a while, when many requests fail.
+    constexpr double idleBonus = 0.25;
+    constexpr Duration idleAfter { milliseconds(1200) };
+    constexpr double idleBonusAboveFailureShare = 0.06;
+    constexpr double soundBelow = 0.3;
+    constexpr double failureShareStep = 0.03;
+
+    // An attempt whose end was never reported gives its slot back after this time.
+    constexpr Duration attemptLimit { seconds(12) };
+    // Share of answers by whose time a waiting request must still be able to finish.
+    constexpr double servedQuantile = 0.6;
+    // Share of answers after which one without an answer is unusual.
+    constexpr double unusualQuantile = 0.97;
+    constexpr Duration leastRetryAfter { milliseconds(100) };
+
+    unsigned usedSlots(const PooledTarget& target) noexcept { return static_cast<unsigned>(target.inFlight.size()); }
+
+    bool contains(std::span<const std::string> names, std::string_view name)
+    {
+        return std::find(names.begin(), names.end(), name) != names.end();
+    }
+
+    struct Candidate {
+        PooledTarget* target { nullptr };
+        double failing { 0 };
+    };
+
+    // Targets that take new requests, likeliest sound first.
+    std::vector<Candidate> eligibleTargets(TargetPool& pool, TimePoint now)
+    {
+        std::vector<Candidate> candidates;
+        for (auto& [instance, target] : pool.targets) {
+            if (!target.listed.leaving)
+                candidates.push_back({ &target, failing(pool, target, now) });
+        }
+        std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.failing < b.failing; });
+        const auto floor = static_cast<std::size_t>(std::ceil(pool.limits.floorShare * static_cast<double>(candidates.size())));
+        std::size_t kept = 0;
+        while (kept < candidates.size() && (kept < floor || candidates[kept].failing <= pool.limits.quarantineAbove))
+            ++kept;
+        candidates.resize(kept);
+        return candidates;
+    }
+
+    double costOf(const TargetPool& pool, const Candidate& candidate, const GrantRequest& request, TimePoint now)
+    {
+        const PooledTarget& target = *candidate.target;
+        const unsigned used = usedSlots(target);
+        double cost = candidate.failing + sharedFateWeight * used;
+        if (used + 1 >= target.listed.slots && target.listed.slots > 1)
+            cost += lastSlotWeight;
+        if (target.coldUntil > now)
+            cost += coldWeight;
+        if (target.listed.failureDomain != request.failureDomain)
+            cost += foreignDomainWeight;
+        if (!contains(request.warm, target.listed.instance))
+            cost += newConnectionWeight;
+        if (pool.failureShare > idleBonusAboveFailureShare && candidate.failing < soundBelow && now - target.lastGranted > idleAfter)
+            cost -= idleBonus;
+        return cost;
+    }
+
+    struct Choice {
+        PooledTarget* target { nullptr };
+        double failing { 0 };
+        bool anyEligible { false };
+    };
+
+    Choice choose(TargetPool& pool, const GrantRequest& request, TimePoint now)
+    {
+        Choice choice;
+        double best = 0;
+        for (const Candidate& candidate : eligibleTargets(pool, now)) {
+            if (contains(request.avoid, candidate.target->listed.instance))
+                continue;
+            choice.anyEligible = true;
+            if (usedSlots(*candidate.target) >= candidate.target->listed.slots)
+                continue;
+            const double cost = costOf(pool, candidate, request, now);
+            if (!choice.target || cost < best) {
+                choice.target = candidate.target;
+                choice.failing = candidate.failing;
+                best = cost;
+            }
+        }
+        return choice;
+    }
+
+    Decision grant(TargetPool& pool, const GrantRequest& request, const Choice& choice, TimePoint now)
+    {
+        Decision decision;
+        decision.key = request.key;
+        decision.instance = choice.target->listed.instance;
+        decision.unusualAfter = quantile(pool.latency, unusualQuantile);
+        decision.failing = choice.failing;
+        decision.inFlight = usedSlots(*choice.target);
+        decision.waiting = pool.waiting.size();
+        choice.target->inFlight.emplace(request.key, now);
+        choice.target->lastGranted = now;
+        pool.attempts[request.key] = decision.instance;
+        ++pool.events.granted;
+        return decision;
+    }
+
+    Decision refuse(TargetPool& pool, const AttemptKey& key, RefusalReason reason, Duration retryAfter)
+    {
+        ++pool.events.refused;
+        Decision decision;
+        decision.key = key;
+        decision.verdict = Verdict::Refused;
+        decision.reason = reason;
+        decision.retryAfter = std::max(retryAfter, leastRetryAfter);
+        decision.waiting = pool.waiting.size();
+        return decision;
+    }
+
+    unsigned eligibleSlots(TargetPool& pool, TimePoint now)
+    {
+        unsigned slots = 0;
+        for (const Candidate& candidate : eligibleTargets(pool, now))
+            slots += candidate.target->listed.slots;
+        return slots;
+    }
+
+    // How long until the given number of waiting requests has been served.
+    Duration expectedWait(const TargetPool& pool, std::size_t ahead, unsigned slots)
+    {
+        const auto typical = static_cast<double>(quantile(pool.latency, 0.5).count());
+        return Duration(static_cast<Duration::rep>(typical * (static_cast<double>(ahead) + 1) / std::max(1U, slots)));
+    }
+
+    // The last moment at which a waiting request is still worth sending.
+    TimePoint lastUsefulStart(const TargetPool& pool, const GrantRequest& request)
+    {
+        return request.deadline - quantile(pool.latency, servedQuantile);
+    }
+
+    std::vector<Decision> serveWaiting(TargetPool& pool, TimePoint now)
+    {
+        std::vector<Decision> decisions;
+        for (auto waiting = pool.waiting.begin(); waiting != pool.waiting.end();) {
+            const Choice choice = choose(pool, waiting->second.request, now);
+            if (!choice.target) {
+                ++waiting;
+                continue;
+            }
+            decisions.push_back(grant(pool, waiting->second.request, choice, now));
+            waiting = pool.waiting.erase(waiting);
+        }
+        return decisions;
+    }
+
+    void releaseAttempt(TargetPool& pool, const AttemptKey& key, std::string_view instance)
+    {
+        if (const auto target = pool.targets.find(instance); target != pool.targets.end())
+            target->second.inFlight.erase(key);
+    }
+
+    bool waits(const TargetPool& pool, const AttemptKey& key)
+    {
+        return std::any_of(pool.waiting.begin(), pool.waiting.end(), [&key](const auto& item) { return item.second.request.key == key; });
+    }
+
+    bool isFailure(Outcome outcome) noexcept { return outcome == Outcome::Failed || outcome == Outcome::Broken || outcome == Outcome::Hung; }
+
+}
+
+std::string_view toString(RefusalReason reason) noexcept
+{
+    switch (reason) {
+    case RefusalReason::None:
+        return "none";
+    case RefusalReason::NoTarget:
+        return "no-target";
+    case RefusalReason::NoRoom:
+        return "no-room";
+    case RefusalReason::NoRetry:
+        return "no-retry";
+    }
+    return "none";
+}
+
+double failing(const TargetPool& pool, const PooledTarget& target, TimePoint now)
+{
+    double probability = relaxed(target.belief, pool.model, now);
+    // A cold target is slow, so that its requests take longer without meaning harm.
+    const int slowness = target.coldUntil > now ? 2 : 1;
+    for (const auto& [key, startedAt] : target.inFlight)
+        probability = updated(probability, pendingRatio(pool.model, pool.latency, (now - startedAt) / slowness));
+    return probability;
+}
+
+std::vector<Decision> setTargets(TargetPool& pool, std::span<const ListedTarget> listed, TimePoint now)
+{
+    std::map<std::string, PooledTarget, std::less<>> targets;
+    for (const ListedTarget& item : listed) {
+        PooledTarget target;
+        if (const auto known = pool.targets.find(item.instance); known != pool.targets.end()) {
+            target = std::move(known->second);
+        } else {
+            target.belief = { pool.model.failingShare, now };
+            target.coldUntil = now + item.cold;
+            target.lastGranted = now;
+        }
+        target.listed = item;
+        targets.emplace(item.instance, std::move(target));
+    }
+    pool.targets = std::move(targets);
+    return serveWaiting(pool, now);
+}
+
+std::vector<Decision> submit(TargetPool& pool, GrantRequest request, TimePoint now)
+{
+    // A repeated message about an attempt that runs: the first answer was lost.
+    if (const auto running = pool.attempts.find(request.key); running != pool.attempts.end()) {
+        Decision again;
+        again.key = request.key;
+        again.instance = running->second;
+        again.unusualAfter = quantile(pool.latency, unusualQuantile);
+        return { again };
+    }
+    if (waits(pool, request.key))
+        return {};
+    if (request.repeat) {
+        if (pool.retries.tokens < 1)
+            return { refuse(pool, request.key, RefusalReason::NoRetry, Duration::zero()) };
+    } else {
+        earnRetry(pool.retries);
+    }
+    const Choice choice = choose(pool, request, now);
+    if (choice.target) {
+        if (request.repeat)
+            spendRetry(pool.retries);
+        return { grant(pool, request, choice, now) };
+    }
+    if (!choice.anyEligible)
+        return { refuse(pool, request.key, RefusalReason::NoTarget, seconds(1)) };
+    const auto ahead = static_cast<std::size_t>(std::distance(pool.waiting.begin(), pool.waiting.upper_bound(request.rank)));
+    const unsigned slots = eligibleSlots(pool, now);
+    const Duration wait = expectedWait(pool, ahead, slots);
+    // Further attempts don't queue: their first attempt may still answer.
+    if (request.repeat || ahead >= std::size_t { pool.limits.waitingPerSlot } * slots || now + wait > lastUsefulStart(pool, request))
+        return { refuse(pool, request.key, RefusalReason::NoRoom, expectedWait(pool, pool.waiting.size(), slots)) };
+    const unsigned rank = request.rank;
+    pool.waiting.emplace(rank, WaitingRequest { std::move(request), now });
+    return {};
+}
+
+void noteStarted(TargetPool& pool, const AttemptKey& key, std::string_view instance, TimePoint startedAt)
+{
+    const auto target = pool.targets.find(instance);
+    if (target == pool.targets.end())
+        return;
+    target->second.inFlight.emplace(key, startedAt);
+    pool.attempts[key] = std::string(instance);
+}
+
+std::vector<Decision> finish(TargetPool& pool, const AttemptKey& key, Outcome outcome, Duration lasted, TimePoint now)
+{
+    const auto attempt = pool.attempts.find(key);
+    if (attempt == pool.attempts.end()) {
+        withdraw(pool, key);
+        return {};
+    }
+    const auto target = pool.targets.find(attempt->second);
+    if (target != pool.targets.end()) {
+        target->second.inFlight.erase(key);
+        observe(target->second.belief, pool.model, pool.latency, outcome, lasted, now);
+    }
+    pool.attempts.erase(attempt);
+    if (outcome == Outcome::Succeeded || outcome == Outcome::Failed)
+        recordLatency(pool.latency, lasted);
+    if (outcome != Outcome::Abandoned)
+        pool.failureShare += failureShareStep * ((isFailure(outcome) ? 1.0 : 0.0) - pool.failureShare);
+    return serveWaiting(pool, now);
+}
+
+void withdraw(TargetPool& pool, const AttemptKey& key)
+{
+    for (auto waiting = pool.waiting.begin(); waiting != pool.waiting.end(); ++waiting) {
+        if (waiting->second.request.key == key) {
+            pool.waiting.erase(waiting);
+            return;
+        }
+    }
+}
+
+std::vector<Decision> expire(TargetPool& pool, TimePoint now)
+{
+    std::vector<std::pair<AttemptKey, std::string>> lost;
+    for (const auto& [instance, target] : pool.targets) {
+        for (const auto& [key, startedAt] : target.inFlight) {
+            if (now - startedAt > attemptLimit)
+                lost.emplace_back(key, instance);
+        }
+    }
+    for (const auto& [key, instance] : lost) {
+        releaseAttempt(pool, key, instance);
+        pool.attempts.erase(key);
+    }
+    std::vector<Decision> decisions = serveWaiting(pool, now);
+    const unsigned slots = eligibleSlots(pool, now);
+    for (auto waiting = pool.waiting.begin(); waiting != pool.waiting.end();) {
+        if (lastUsefulStart(pool, waiting->second.request) > now) {
+            ++waiting;
+            continue;
+        }
+        const AttemptKey key = waiting->second.request.key;
+        waiting = pool.waiting.erase(waiting);
+        decisions.push_back(refuse(pool, key, RefusalReason::NoRoom, expectedWait(pool, pool.waiting.size(), slots)));
+    }
+    return decisions;
+}
+
+std::optional<TimePoint> nextExpiry(const TargetPool& pool)
+{
+    std::optional<TimePoint> next;
+    for (const auto& [rank, waiting] : pool.waiting) {
+        const TimePoint due = lastUsefulStart(pool, waiting.request);
+        if (!next || due < *next)
+            next = due;
+    }
+    return next;
+}
+
+}
--- /dev/null
+++ b/packages/proxy/include/flamingowick/proxy/PeerLink.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "flamingowick/grants/TargetPool.h"
+#include "flamingowick/proxy/Runtime.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace flamingowick::proxy::wire {
+class Datagram;
+}
+
+// Datagrams between daemons. Messages to one daemon that arise together travel together; any may be
+// lost, doubled or late.
+namespace flamingowick::proxy {
+
+struct AskMessage {
+    std::uint64_t number { 0 };
+    // The group of targets: a service, and which part of its targets.
+    std::string group;
+    grants::GrantRequest request;
+    // Until the attempt has to end, as the sender saw it.
+    Duration left { 0 };
+};
+
+enum class WordKind : std::uint8_t {
+    Granted,
+    Refused,
+    Waits,
+};
+
+struct WordMessage {
+    WordKind kind { WordKind::Waits };
+    grants::Decision decision;
+};
+
+struct EndMessage {
+    std::uint64_t number { 0 };
+    std::string group;
+    grants::Outcome outcome { grants::Outcome::Abandoned };
+    Duration lasted { 0 };
+};
+
+struct RunningMessage {
+    std::uint64_t number { 0 };
+    std::string group;
+    std::string instance;
+    Duration age { 0 };
+};
+
+struct PresenceMessage {
+    std::string name;
+    std::string address;
+    bool leaving { false };
+    bool wantsReply { false };
+};
+
+// Who sent a datagram: differs between lives of a daemon.
+struct PeerSource {
+    std::uint64_t sender { 0 };
+    std::string address;
+};
+
+struct PeerHandlers {
+    std::function<void(const PeerSource&, AskMessage)> onAsk;
+    std::function<void(const PeerSource&, const WordMessage&)> onWord;
+    std::function<void(const PeerSource&, const EndMessage&)> onEnd;
+    std::function<void(const PeerSource&, const RunningMessage&)> onRunning;
+    std::function<void(const PeerSource&, const PresenceMessage&)> onPresence;
+};
+
+class PeerLink {
+public:
+    // Opens the socket. Throws PeerError 300 when the address can't be opened.
+    PeerLink(asio::io_context&, std::string_view address, std::uint64_t sender, PeerHandlers);
+    ~PeerLink();
+    PeerLink(const PeerLink&) = delete;
+    PeerLink& operator=(const PeerLink&) = delete;
+
+    void send(const std::string& address, const AskMessage&);
+    void send(const std::string& address, const WordMessage&);
+    void send(const std::string& address, const EndMessage&);
+    void send(const std::string& address, const RunningMessage&);
+    void send(const std::string& address, const PresenceMessage&);
+
+    // Sends at once what was gathered.
+    void flush();
+
+    std::uint64_t sentDatagrams() const noexcept { return this->sent; }
+    std::uint64_t unreadableDatagrams() const noexcept { return this->unreadable; }
+
+private:
+    wire::Datagram& datagramTo(const std::string& address);
+    void receive();
+    void drain();
+    void dispatch(std::string_view bytes, const asio::ip::udp::endpoint& from);
+
+    asio::io_context& context;
+    asio::ip::udp::socket socket;
+    std::uint64_t sender;
+    PeerHandlers handlers;
+    std::map<std::string, wire::Datagram> gathered;
+    bool flushPlanned { false };
+    std::string buffer;
+    std::uint64_t sent { 0 };
+    std::uint64_t unreadable { 0 };
+};
+
+}
--- /dev/null
+++ b/packages/proxy/src/CallerServer.cpp
@@ -0,0 +1,292 @@
+#include "flamingowick/proxy/CallerServer.h"
+
+#include <asio/write.hpp>
+
+#include <vector>
+
+namespace flamingowick::proxy {
+
+namespace {
+
+    constexpr std::size_t readBytes = 16U << 10U;
+    // Bytes of further requests that are taken in while one is served.
+    constexpr std::size_t maxPendingBytes = 64U << 10U;
+    // The caller's own timer runs until its bytes arrive: it may still reuse the connection then.
+    constexpr Duration idleAllowance { std::chrono::milliseconds(500) };
+    // How long a connection waits for the caller's close after its last answer.
+    constexpr Duration lingerTime { std::chrono::seconds(1) };
+    // Pause before accepting again when descriptors run out.
+    constexpr Duration acceptRetry { std::chrono::milliseconds(50) };
+
+    void appendHeader(std::string& out, std::string_view name, std::string_view value)
+    {
+        out.append(name).append(": ").append(value).append("\r\n");
+    }
+
+    bool hasNoBody(unsigned status) noexcept { return status == 204 || status == 304 || status < 200; }
+
+}
+
+CallerConnection::CallerConnection(CallerServer& owner, asio::ip::tcp::socket accepted)
+    : server(owner)
+    , socket(std::move(accepted))
+    , timer(owner.context)
+    , reader(MessageReader::Kind::Requests, {})
+    , inputBuffer(readBytes, '\0')
+{
+}
+
+void CallerConnection::start()
+{
+    const CallerLimits limits = this->server.handlers.limits();
+    this->reader.restart({ limits.maxHeaderBytes, limits.maxBodyBytes });
+    this->expectWithin(limits.idleTimeout + idleAllowance);
+    this->read();
+}
+
+void CallerConnection::read()
+{
+    if (this->reading || this->closed)
+        return;
+    this->reading = true;
+    this->socket.async_read_some(asio::buffer(this->inputBuffer), [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
+        self->reading = false;
+        self->afterRead(error, size);
+    });
+}
+
+void CallerConnection::afterRead(const asio::error_code& error, std::size_t size)
+{
+    if (this->closed)
+        return;
+    if (error) {
+        this->callerLeft();
+        return;
+    }
+    if (this->lingering) {
+        this->read();
+        return;
+    }
+    this->pending.append(this->inputBuffer, 0, size);
+    if (!this->inService && !this->writing)
+        this->consume();
+    if (!this->closed && this->pending.size() < maxPendingBytes)
+        this->read();
+}
+
+void CallerConnection::consume()
+{
+    if (this->pending.empty())
+        return;
+    const CallerLimits limits = this->server.handlers.limits();
+    if (!this->reader.started()) {
+        this->began = Clock::now();
+        this->expectWithin(limits.headerTimeout);
+    }
+    const bool headersWereDone = this->reader.headersComplete();
+    const std::size_t taken = this->reader.take(this->pending);
+    this->pending.erase(0, taken);
+    switch (this->reader.state()) {
+    case ReadState::Complete:
+        this->serveRequest();
+        return;
+    case ReadState::Malformed:
+        this->refuseUnreadable(400);
+        return;
+    case ReadState::HeaderTooLarge:
+        this->refuseUnreadable(431);
+        return;
+    case ReadState::BodyTooLarge:
+        this->refuseUnreadable(413);
+        return;
+    case ReadState::Incomplete:
+        break;
+    }
+    if (!this->reader.headersComplete())
+        return;
+    // A body may take as long as the caller goes on sending.
+    this->expectWithin(limits.idleTimeout);
+    if (!headersWereDone && sameName(headerValue(this->reader.message(), "expect"), "100-continue") && !this->continueSent) {
+        this->continueSent = true;
+        asio::error_code ignored;
+        constexpr std::string_view go = "HTTP/1.1 100 Continue\r\n\r\n";
+        this->socket.write_some(asio::buffer(go.data(), go.size()), ignored);
+    }
+}
+
+void CallerConnection::serveRequest()
+{
+    this->inService = true;
+    this->onGone = nullptr;
+    this->server.handlers.onRequest(this->shared_from_this());
+}
+
+void CallerConnection::refuseUnreadable(unsigned status)
+{
+    this->inService = true;
+    this->closeAfterWrite = true;
+    HttpMessage answer;
+    answer.status = status;
+    this->respond(answer);
+}
+
+void CallerConnection::respond(const HttpMessage& answer)
+{
+    if (this->closed || !this->inService)
+        return;
+    this->onGone = nullptr;
+    const bool keep = !this->closeAfterWrite && this->reader.message().keepAlive && !this->server.stopping;
+    this->closeAfterWrite = !keep;
+    this->output.clear();
+    this->output.append("HTTP/1.1 ").append(std::to_string(answer.status)).append(" ").append(reasonPhrase(answer.status)).append("\r\n");
+    for (const Header& header : answer.headers) {
+        if (!concernsConnection(answer, header.name) && !sameName(header.name, "content-length"))
+            appendHeader(this->output, header.name, header.value);
+    }
+    if (!hasNoBody(answer.status))
+        appendHeader(this->output, "Content-Length", std::to_string(answer.body.size()));
+    if (!keep)
+        appendHeader(this->output, "Connection", "close");
+    this->output.append("\r\n");
+    if (!hasNoBody(answer.status) && this->reader.message().method != "HEAD")
+        this->output.append(answer.body);
+    this->writing = true;
+    asio::async_write(this->socket, asio::buffer(this->output), [self = this->shared_from_this()](const asio::error_code& error, std::size_t) { self->afterWrite(error); });
+}
+
+void CallerConnection::afterWrite(const asio::error_code& error)
+{
+    this->writing = false;
+    this->inService = false;
+    if (this->closed)
+        return;
+    if (error) {
+        this->close();
+        return;
+    }
+    if (this->closeAfterWrite) {
+        this->linger();
+        return;
+    }
+    const CallerLimits limits = this->server.handlers.limits();
+    this->reader.restart({ limits.maxHeaderBytes, limits.maxBodyBytes });
+    this->continueSent = false;
+    this->expectWithin(limits.idleTimeout + idleAllowance);
+    this->consume();
+    this->read();
+}
+
+void CallerConnection::linger()
+{
+    // Closing with unread bytes would reset the connection and could take the answer with it.
+    this->lingering = true;
+    asio::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    this->expectWithin(lingerTime);
+    this->read();
+}
+
+void CallerConnection::callerLeft()
+{
+    const std::function<void()> gone = std::move(this->onGone);
+    this->close();
+    if (gone)
+        gone();
+}
+
+void CallerConnection::close()
+{
+    if (this->closed)
+        return;
+    this->closed = true;
+    this->onGone = nullptr;
+    asio::error_code ignored;
+    this->socket.close(ignored);
+    this->timer.cancel();
+    this->server.connections.erase(this->shared_from_this());
+}
+
+void CallerConnection::expectWithin(Duration time)
+{
+    this->due = Clock::now() + time;
+    if (!this->timerArmed || this->due < this->timer.expiry())
+        this->armTimer();
+}
+
+void CallerConnection::armTimer()
+{
+    this->timerArmed = true;
+    this->timer.expires_at(this->due);
+    this->timer.async_wait([self = this->shared_from_this()](const asio::error_code& error) {
+        if (error || self->closed)
+            return;
+        self->timerArmed = false;
+        // A request in service has its own deadline.
+        if (self->inService || self->writing)
+            return;
+        if (Clock::now() < self->due) {
+            self->armTimer();
+            return;
+        }
+        if (self->reader.started() && !self->lingering) {
+            self->refuseUnreadable(408);
+            return;
+        }
+        self->close();
+    });
+}
+
+CallerServer::CallerServer(asio::io_context& ioContext, std::string_view address, unsigned connectionLimit, CallerServerHandlers serverHandlers)
+    : context(ioContext)
+    , acceptor(listenOn(ioContext, address))
+    , acceptPause(ioContext)
+    , maxConnections(connectionLimit)
+    , handlers(std::move(serverHandlers))
+{
+    this->accept();
+}
+
+void CallerServer::accept()
+{
+    this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (error) {
+            this->acceptPause.expires_after(acceptRetry);
+            this->acceptPause.async_wait([this](const asio::error_code& stopped) {
+                if (!stopped && this->acceptor.is_open())
+                    this->accept();
+            });
+            return;
+        }
+        if (this->connections.size() < this->maxConnections) {
+            tuneSocket(socket);
+            auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
+            this->connections.insert(connection);
+            connection->start();
+        }
+        this->accept();
+    });
+}
+
+void CallerServer::closeIdle()
+{
+    asio::error_code ignored;
+    this->acceptor.close(ignored);
+    this->acceptPause.cancel();
+    const std::vector<std::shared_ptr<CallerConnection>> present(this->connections.begin(), this->connections.end());
+    for (const auto& connection : present) {
+        if (!connection->serving())
+            connection->close();
+    }
+}
+
+std::size_t CallerServer::servingCount() const
+{
+    std::size_t count = 0;
+    for (const auto& connection : this->connections)
+        count += connection->serving() ? 1 : 0;
+    return count;
+}
+
+}
--- /dev/null
+++ b/packages/proxy/src/HttpMessage.cpp
@@ -0,0 +1,205 @@
+#include "flamingowick/proxy/HttpMessage.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace flamingowick::proxy {
+
+namespace {
+
+    constexpr std::array<std::string_view, 8> hopByHopNames { "connection", "keep-alive", "proxy-connection",
+        "proxy-authenticate", "te", "trailer", "transfer-encoding", "upgrade" };
+
+    MessageReader& readerOf(http_parser* parser) { return *static_cast<MessageReader*>(parser->data); }
+
+    std::string_view trimmed(std::string_view text) noexcept
+    {
+        while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+            text.remove_prefix(1);
+        while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
+            text.remove_suffix(1);
+        return text;
+    }
+
+    bool listsToken(std::string_view list, std::string_view token) noexcept
+    {
+        while (!list.empty()) {
+            const std::size_t comma = list.find(',');
+            if (sameName(trimmed(list.substr(0, comma)), token))
+                return true;
+            if (comma == std::string_view::npos)
+                return false;
+            list.remove_prefix(comma + 1);
+        }
+        return false;
+    }
+
+}
+
+bool sameName(std::string_view first, std::string_view second) noexcept
+{
+    return std::equal(first.begin(), first.end(), second.begin(), second.end(), [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+}
+
+std::string_view headerValue(const HttpMessage& message, std::string_view name) noexcept
+{
+    for (const Header& header : message.headers) {
+        if (sameName(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+bool concernsConnection(const HttpMessage& message, std::string_view name) noexcept
+{
+    if (std::any_of(hopByHopNames.begin(), hopByHopNames.end(), [name](std::string_view hop) { return sameName(hop, name); }))
+        return true;
+    return std::any_of(message.headers.begin(), message.headers.end(), [name](const Header& header) {
+        return sameName(header.name, "connection") && listsToken(header.value, name);
+    });
+}
+
+std::string_view reasonPhrase(unsigned status) noexcept
+{
+    return http_status_str(static_cast<http_status>(status));
+}
+
+MessageReader::MessageReader(Kind messageKind, ReadLimits readLimits)
+    : kind(messageKind)
+    , limits(readLimits)
+{
+    this->restart(readLimits);
+}
+
+void MessageReader::restart(ReadLimits readLimits, bool withoutBody)
+{
+    this->limits = readLimits;
+    this->bodyless = withoutBody;
+    http_parser_init(&this->parser, this->kind == Kind::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+    this->parser.data = this;
+    this->current = HttpMessage {};
+    this->readState = ReadState::Incomplete;
+    this->headerBytes = 0;
+    this->begun = false;
+    this->headersDone = false;
+    this->lastWasValue = false;
+}
+
+std::size_t MessageReader::take(std::string_view bytes)
+{
+    static const http_parser_settings callbacks = [] {
+        http_parser_settings made {};
+        http_parser_settings_init(&made);
+        made.on_url = &MessageReader::onUrl;
+        made.on_header_field = &MessageReader::onHeaderName;
+        made.on_header_value = &MessageReader::onHeaderValue;
+        made.on_headers_complete = &MessageReader::onHeadersComplete;
+        made.on_body = &MessageReader::onBody;
+        made.on_message_complete = &MessageReader::onComplete;
+        return made;
+    }();
+    if (this->readState != ReadState::Incomplete || bytes.empty())
+        return 0;
+    this->begun = true;
+    const std::size_t taken = http_parser_execute(&this->parser, &callbacks, bytes.data(), bytes.size());
+    if (this->readState == ReadState::Incomplete && HTTP_PARSER_ERRNO(&this->parser) != HPE_OK)
+        this->readState = HTTP_PARSER_ERRNO(&this->parser) == HPE_HEADER_OVERFLOW ? ReadState::HeaderTooLarge : ReadState::Malformed;
+    return taken;
+}
+
+void MessageReader::takeEnd()
+{
+    if (this->readState == ReadState::Incomplete && this->headersDone && this->current.closeEnded)
+        this->readState = ReadState::Complete;
+}
+
+bool MessageReader::addHeaderBytes(std::size_t size)
+{
+    this->headerBytes += size;
+    if (this->headerBytes <= this->limits.maxHeaderBytes)
+        return true;
+    this->readState = ReadState::HeaderTooLarge;
+    return false;
+}
+
+int MessageReader::onUrl(http_parser* parser, const char* text, std::size_t size)
+{
+    MessageReader& reader = readerOf(parser);
+    if (!reader.addHeaderBytes(size))
+        return 1;
+    reader.current.target.append(text, size);
+    return 0;
+}
+
+int MessageReader::onHeaderName(http_parser* parser, const char* text, std::size_t size)
+{
+    MessageReader& reader = readerOf(parser);
+    // Trailers of chunked bodies are dropped.
+    if (reader.headersDone)
+        return 0;
+    if (!reader.addHeaderBytes(size))
+        return 1;
+    if (reader.current.headers.empty() || reader.lastWasValue)
+        reader.current.headers.emplace_back();
+    reader.lastWasValue = false;
+    reader.current.headers.back().name.append(text, size);
+    return 0;
+}
+
+int MessageReader::onHeaderValue(http_parser* parser, const char* text, std::size_t size)
+{
+    MessageReader& reader = readerOf(parser);
+    if (reader.headersDone)
+        return 0;
+    if (!reader.addHeaderBytes(size))
+        return 1;
+    reader.lastWasValue = true;
+    reader.current.headers.back().value.append(text, size);
+    return 0;
+}
+
+int MessageReader::onHeadersComplete(http_parser* parser)
+{
+    MessageReader& reader = readerOf(parser);
+    HttpMessage& message = reader.current;
+    reader.headersDone = true;
+    // Another protocol on the connection is not offered.
+    parser->upgrade = 0;
+    if (reader.kind == Kind::Requests) {
+        message.method = http_method_str(static_cast<http_method>(parser->method));
+        if (parser->method == HTTP_CONNECT)
+            return -1;
+    } else {
+        message.status = parser->status_code;
+        const bool framed = (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
+        message.closeEnded = !reader.bodyless && !framed && message.status >= 200 && message.status != 204 && message.status != 304;
+    }
+    message.keepAlive = http_should_keep_alive(parser) != 0;
+    if ((parser->flags & F_CONTENTLENGTH) != 0 && !reader.bodyless && parser->content_length > reader.limits.maxBodyBytes) {
+        reader.readState = ReadState::BodyTooLarge;
+        return -1;
+    }
+    return reader.bodyless ? 1 : 0;
+}
+
+int MessageReader::onBody(http_parser* parser, const char* text, std::size_t size)
+{
+    MessageReader& reader = readerOf(parser);
+    if (reader.current.body.size() + size > reader.limits.maxBodyBytes) {
+        reader.readState = ReadState::BodyTooLarge;
+        return 1;
+    }
+    reader.current.body.append(text, size);
+    return 0;
+}
+
+int MessageReader::onComplete(http_parser* parser)
+{
+    MessageReader& reader = readerOf(parser);
+    reader.readState = ReadState::Complete;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+}
--- /dev/null
+++ b/packages/proxy/src/ProxySettingsText.cpp
@@ -0,0 +1,56 @@
+#include "flamingowick/proxy/ProxySettingsText.h"
+
+#include "flamingowick/settings/detail/FieldReader.h"
+#include "flamingowick/settings/detail/JsonParser.h"
+#include "flamingowick/settings/detail/TextRules.h"
+
+namespace flamingowick::proxy {
+
+namespace {
+
+    using namespace settings::detail;
+    using settings::FindingNumber;
+    using settings::JsonValue;
+    using std::chrono::milliseconds;
+    using std::chrono::minutes;
+
+    void checkDiffer(const ProxySettings& settings, const JsonValue& root, FindingList& findings)
+    {
+        const auto contradict = [&root, &findings](std::string_view pointer, std::string_view other) {
+            addFinding(findings, FindingNumber::Contradiction, pointer, settings::lineOf(root, pointer), "must differ from " + std::string(other));
+        };
+        if (!settings.callerAddress.empty() && settings.callerAddress == settings.readyAddress)
+            contradict("/readyAddress", "callerAddress");
+        if (!settings.metricsAddress.empty() && (settings.metricsAddress == settings.callerAddress || settings.metricsAddress == settings.readyAddress))
+            contradict("/metricsAddress", "callerAddress and readyAddress");
+    }
+
+}
+
+Checked<ProxySettings> parseProxySettings(std::string_view text)
+{
+    Checked<ProxySettings> result;
+    FindingList findings;
+    if (const auto root = parseJson(text, findings)) {
+        ProxySettings& settings = result.value;
+        ObjectReader reader = openValue(*root, "", findings);
+        readText(reader, "vm", Presence::Required, checkPlaceName, settings.vm);
+        readText(reader, "failureDomain", Presence::Required, checkPlaceName, settings.failureDomain);
+        readText(reader, "callerAddress", Presence::Required, checkAddress, settings.callerAddress);
+        readText(reader, "readyAddress", Presence::Required, checkAddress, settings.readyAddress);
+        readText(reader, "metricsAddress", Presence::Optional, checkAddress, settings.metricsAddress);
+        readText(reader, "peerAddress", Presence::Required, checkAddress, settings.peerAddress);
+        readText(reader, "storeAddress", Presence::Required, checkAddress, settings.storeAddress);
+        readMilliseconds(reader, "stopLimitMs", { milliseconds(100), minutes(10) }, settings.stopLimit);
+        readMilliseconds(reader, "lapseGraceMs", { milliseconds(0), minutes(1) }, settings.lapseGrace);
+        readNumber(reader, "retryRatio", { 0, 10 }, settings.retryRatio);
+        readNumber(reader, "retryBurst", { 0, 1e6 }, settings.retryBurst);
+        readUnsigned(reader, "logLinesPerSecond", { 1, 100'000 }, settings.logLinesPerSecond);
+        finishObject(reader);
+        checkDiffer(settings, *root, findings);
+    }
+    result.findings = takeFindings(std::move(findings));
+    return result;
+}
+
+}
--- /dev/null
+++ b/packages/proxy/src/TargetDirectory.cpp
@@ -0,0 +1,164 @@
+#include "flamingowick/proxy/TargetDirectory.h"
+
+#include <algorithm>
+
+namespace flamingowick::proxy {
+
+namespace {
+
+    void merge(DirectoryChange& into, DirectoryChange from)
+    {
+        into.services.merge(from.services);
+        into.gone.insert(into.gone.end(), from.gone.begin(), from.gone.end());
+        into.leaving.insert(into.leaving.end(), from.leaving.begin(), from.leaving.end());
+        into.kept.insert(into.kept.end(), from.kept.begin(), from.kept.end());
+    }
+
+    bool isMassLoss(const TargetDirectory& directory, std::string_view service, TimePoint now)
+    {
+        const auto recent = std::count_if(directory.removals.lower_bound(now - directory.limits.massLossSpan), directory.removals.end(), [service](const auto& removal) { return removal.second == service; });
+        const std::size_t present = countTargets(directory, service);
+        return recent > 1 && static_cast<double>(recent) >= directory.limits.massLossShare * static_cast<double>(present);
+    }
+
+    // Until when a target whose entry has just vanished is used; none when it is gone.
+    std::optional<TimePoint> graceOf(const TargetDirectory& directory, std::string_view service, TimePoint now)
+    {
+        if (directory.storeAway)
+            return TimePoint::max();
+        if (directory.storeAwayUntil && now < *directory.storeAwayUntil + directory.limits.lapseGrace)
+            return *directory.storeAwayUntil + directory.limits.lapseGrace;
+        if (isMassLoss(directory, service, now))
+            return now + directory.limits.massLossGrace;
+        return std::nullopt;
+    }
+
+}
+
+DirectoryChange putEntry(TargetDirectory& directory, const TargetEntry& entry, TimePoint /*now*/)
+{
+    DirectoryChange change;
+    const auto found = directory.entries.find(entry.target.instance);
+    DirectoryEntry next { entry, std::nullopt };
+    if (found != directory.entries.end()) {
+        const TargetEntry& known = found->second.entry;
+        const bool sameLife = known.startedAt == entry.startedAt && known.target.address == entry.target.address;
+        if (sameLife && known.target.leaving)
+            next.entry.target.leaving = true;
+        if (!sameLife)
+            change.gone.push_back(entry.target.instance);
+        change.services.insert(known.service);
+    }
+    if (next.entry.target.leaving && (found == directory.entries.end() || !found->second.entry.target.leaving))
+        change.leaving.push_back(entry.target.instance);
+    change.services.insert(entry.service);
+    directory.entries.insert_or_assign(entry.target.instance, std::move(next));
+    return change;
+}
+
+DirectoryChange removeEntry(TargetDirectory& directory, std::string_view instance, TimePoint now)
+{
+    DirectoryChange change;
+    const auto found = directory.entries.find(instance);
+    if (found == directory.entries.end())
+        return change;
+    const std::string service = found->second.entry.service;
+    directory.removals.erase(directory.removals.begin(), directory.removals.lower_bound(now - directory.limits.massLossSpan));
+    if (!found->second.keptUntil)
+        directory.removals.emplace(now, service);
+    const std::optional<TimePoint> grace = found->second.entry.target.leaving ? std::nullopt : graceOf(directory, service, now);
+    if (grace) {
+        if (!found->second.keptUntil || *found->second.keptUntil == TimePoint::max())
+            found->second.keptUntil = grace;
+        change.kept.emplace_back(instance);
+        return change;
+    }
+    change.services.insert(service);
+    change.gone.emplace_back(instance);
+    directory.entries.erase(found);
+    return change;
+}
+
+DirectoryChange replaceEntries(TargetDirectory& directory, const std::map<std::string, TargetEntry>& entries, TimePoint now)
+{
+    DirectoryChange change;
+    std::vector<std::string> vanished;
+    for (const auto& [instance, known] : directory.entries) {
+        if (entries.find(instance) == entries.end())
+            vanished.push_back(instance);
+    }
+    // All are counted first, so that the first of many is judged like the last.
+    for (const std::string& instance : vanished) {
+        if (!directory.entries.at(instance).keptUntil)
+            directory.removals.emplace(now, directory.entries.at(instance).entry.service);
+    }
+    for (const std::string& instance : vanished)
+        merge(change, removeEntry(directory, instance, now));
+    for (const auto& [instance, entry] : entries)
+        merge(change, putEntry(directory, entry, now));
+    return change;
+}
+
+void noteStoreAway(TargetDirectory& directory)
+{
+    directory.storeAway = true;
+}
+
+void noteStoreBack(TargetDirectory& directory, TimePoint now)
+{
+    if (!directory.storeAway)
+        return;
+    directory.storeAway = false;
+    directory.storeAwayUntil = now;
+    for (auto& [instance, known] : directory.entries) {
+        if (known.keptUntil)
+            known.keptUntil = now + directory.limits.lapseGrace;
+    }
+}
+
+DirectoryChange expireEntries(TargetDirectory& directory, TimePoint now)
+{
+    DirectoryChange change;
+    std::erase_if(directory.entries, [&change, now](const auto& item) {
+        const auto& [instance, known] = item;
+        if (!known.keptUntil || *known.keptUntil > now)
+            return false;
+        change.services.insert(known.entry.service);
+        change.gone.push_back(instance);
+        return true;
+    });
+    return change;
+}
+
+std::optional<TimePoint> nextEntryExpiry(const TargetDirectory& directory)
+{
+    std::optional<TimePoint> next;
+    for (const auto& [instance, known] : directory.entries) {
+        if (known.keptUntil && *known.keptUntil != TimePoint::max() && (!next || *known.keptUntil < *next))
+            next = known.keptUntil;
+    }
+    return next;
+}
+
+std::vector<grants::ListedTarget> targetsOf(const TargetDirectory& directory, std::string_view service)
+{
+    std::vector<grants::ListedTarget> targets;
+    for (const auto& [instance, known] : directory.entries) {
+        if (known.entry.service == service)
+            targets.push_back(known.entry.target);
+    }
+    return targets;
+}
+
+std::size_t countTargets(const TargetDirectory& directory, std::string_view service)
+{
+    return static_cast<std::size_t>(std::count_if(directory.entries.begin(), directory.entries.end(), [service](const auto& item) { return item.second.entry.service == service; }));
+}
+
+bool takesRequests(const TargetDirectory& directory, std::string_view instance)
+{
+    const auto found = directory.entries.find(instance);
+    return found != directory.entries.end() && !found->second.entry.target.leaving;
+}
+
+}
