Keep a latency profile for each route; hedge again after a refusal

Cause: answers to routes that take 2 ms mixed with those of 200 ms hid how late an answer was, and one refusal ended all hedging of a request. Repeatable requests now try targets of unknown standing first.

--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -42,6 +42,10 @@
     AttemptKey key;
     // 0 is served first.
     unsigned rank { 0 };
+    // The request may run more than once, so that a failing target costs it time only.
+    bool idempotent { false };
+    // Tells requests apart whose work takes different times, such as a hash of the route.
+    std::uint64_t workload { 0 };
     // An attempt beyond the request's first.
     bool repeat { false };
     // The attempt has to end by then.
@@ -101,13 +105,18 @@
     unsigned waitingPerSlot { 8 };
 };
 
+// An attempt that holds a slot.
+struct PooledAttempt {
+    TimePoint startedAt;
+    std::uint64_t workload { 0 };
+};
+
 struct PooledTarget {
     ListedTarget listed;
     Belief belief;
     TimePoint coldUntil;
     TimePoint lastGranted;
-    // Attempts in flight with their start.
-    std::map<AttemptKey, TimePoint> inFlight;
+    std::map<AttemptKey, PooledAttempt> inFlight;
 };
 
 struct WaitingRequest {
@@ -124,7 +133,9 @@
 struct TargetPool {
     PoolLimits limits;
     BeliefModel model;
+    // Latency of all requests, and of each workload by itself.
     LatencyProfile latency;
+    std::map<std::uint64_t, LatencyProfile> workloads;
     RetryAllowance retries;
     std::map<std::string, PooledTarget, std::less<>> targets;
     // Where each attempt runs.
@@ -145,7 +156,7 @@
 std::vector<Decision> submit(TargetPool&, GrantRequest, TimePoint now);
 
 // Notes an attempt that was started without this pool's grant. Linear in the target's attempts.
-void noteStarted(TargetPool&, const AttemptKey&, std::string_view instance, TimePoint startedAt);
+void noteStarted(TargetPool&, const AttemptKey&, std::string_view instance, const PooledAttempt&);
 
 // Takes in the end of an attempt, after which its slot is free. Ends of unknown attempts are ignored.
 std::vector<Decision> finish(TargetPool&, const AttemptKey&, Outcome, Duration lasted, TimePoint now);
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -64,11 +64,24 @@
         return candidates;
     }
 
+    // Requests that may be repeated try targets of unknown standing, so that others need not.
+    constexpr double idempotentRiskShare = 0.4;
+
+    // A workload's own profile counts once it has seen a few answers.
+    constexpr std::size_t ownProfileAnswers = 12;
+    constexpr std::size_t maxWorkloads = 64;
+
+    const LatencyProfile& profileOf(const TargetPool& pool, std::uint64_t workload)
+    {
+        const auto own = pool.workloads.find(workload);
+        return own != pool.workloads.end() && own->second.count >= ownProfileAnswers ? own->second : pool.latency;
+    }
+
     double costOf(const TargetPool& pool, const Candidate& candidate, const GrantRequest& request, TimePoint now)
     {
         const PooledTarget& target = *candidate.target;
         const unsigned used = usedSlots(target);
-        double cost = candidate.failing + sharedFateWeight * used;
+        double cost = candidate.failing * (request.idempotent ? idempotentRiskShare : 1) + sharedFateWeight * used;
         if (used + 1 >= target.listed.slots && target.listed.slots > 1)
             cost += lastSlotWeight;
         if (target.coldUntil > now)
@@ -113,11 +126,11 @@
         Decision decision;
         decision.key = request.key;
         decision.instance = choice.target->listed.instance;
-        decision.unusualAfter = quantile(pool.latency, unusualQuantile);
+        decision.unusualAfter = quantile(profileOf(pool, request.workload), unusualQuantile);
         decision.failing = choice.failing;
         decision.inFlight = usedSlots(*choice.target);
         decision.waiting = pool.waiting.size();
-        choice.target->inFlight.emplace(request.key, now);
+        choice.target->inFlight.emplace(request.key, PooledAttempt { now, request.workload });
         choice.target->lastGranted = now;
         pool.attempts[request.key] = decision.instance;
         ++pool.events.granted;
@@ -154,7 +167,7 @@
     // The last moment at which a waiting request is still worth sending.
     TimePoint lastUsefulStart(const TargetPool& pool, const GrantRequest& request)
     {
-        return request.deadline - quantile(pool.latency, servedQuantile);
+        return request.deadline - quantile(profileOf(pool, request.workload), servedQuantile);
     }
 
     std::vector<Decision> serveWaiting(TargetPool& pool, TimePoint now)
@@ -172,6 +185,18 @@
         return decisions;
     }
 
+    void learnLatency(TargetPool& pool, std::uint64_t workload, Duration latency)
+    {
+        recordLatency(pool.latency, latency);
+        auto own = pool.workloads.find(workload);
+        if (own == pool.workloads.end() && pool.workloads.size() < maxWorkloads) {
+            own = pool.workloads.emplace(workload, LatencyProfile {}).first;
+            own->second.assumed = pool.latency.assumed;
+        }
+        if (own != pool.workloads.end())
+            recordLatency(own->second, latency);
+    }
+
     void releaseAttempt(TargetPool& pool, const AttemptKey& key, std::string_view instance)
     {
         if (const auto target = pool.targets.find(instance); target != pool.targets.end())
@@ -207,8 +232,8 @@
     double probability = relaxed(target.belief, pool.model, now);
     // A cold target is slow, so that its requests take longer without meaning harm.
     const int slowness = target.coldUntil > now ? 2 : 1;
-    for (const auto& [key, startedAt] : target.inFlight)
-        probability = updated(probability, pendingRatio(pool.model, pool.latency, (now - startedAt) / slowness));
+    for (const auto& [key, attempt] : target.inFlight)
+        probability = updated(probability, pendingRatio(pool.model, profileOf(pool, attempt.workload), (now - attempt.startedAt) / slowness));
     return probability;
 }
 
@@ -238,7 +263,7 @@
         Decision again;
         again.key = request.key;
         again.instance = running->second;
-        again.unusualAfter = quantile(pool.latency, unusualQuantile);
+        again.unusualAfter = quantile(profileOf(pool, request.workload), unusualQuantile);
         return { again };
     }
     if (waits(pool, request.key))
@@ -268,12 +293,12 @@
     return {};
 }
 
-void noteStarted(TargetPool& pool, const AttemptKey& key, std::string_view instance, TimePoint startedAt)
+void noteStarted(TargetPool& pool, const AttemptKey& key, std::string_view instance, const PooledAttempt& started)
 {
     const auto target = pool.targets.find(instance);
     if (target == pool.targets.end())
         return;
-    target->second.inFlight.emplace(key, startedAt);
+    target->second.inFlight.emplace(key, started);
     pool.attempts[key] = std::string(instance);
 }
 
@@ -285,13 +310,17 @@
         return {};
     }
     const auto target = pool.targets.find(attempt->second);
+    std::uint64_t workload = 0;
     if (target != pool.targets.end()) {
-        target->second.inFlight.erase(key);
-        observe(target->second.belief, pool.model, pool.latency, outcome, lasted, now);
+        if (const auto running = target->second.inFlight.find(key); running != target->second.inFlight.end()) {
+            workload = running->second.workload;
+            target->second.inFlight.erase(running);
+        }
+        observe(target->second.belief, pool.model, profileOf(pool, workload), outcome, lasted, now);
     }
     pool.attempts.erase(attempt);
-    if (outcome == Outcome::Succeeded || outcome == Outcome::Failed)
-        recordLatency(pool.latency, lasted);
+    if (outcome == Outcome::Succeeded)
+        learnLatency(pool, workload, lasted);
     if (outcome != Outcome::Abandoned)
         pool.failureShare += failureShareStep * ((isFailure(outcome) ? 1.0 : 0.0) - pool.failureShare);
     return serveWaiting(pool, now);
@@ -311,8 +340,8 @@
 {
     std::vector<std::pair<AttemptKey, std::string>> lost;
     for (const auto& [instance, target] : pool.targets) {
-        for (const auto& [key, startedAt] : target.inFlight) {
-            if (now - startedAt > attemptLimit)
+        for (const auto& [key, attempt] : target.inFlight) {
+            if (now - attempt.startedAt > attemptLimit)
                 lost.emplace_back(key, instance);
         }
     }
--- a/packages/proxy/include/flamingowick/proxy/DispatcherHost.h
+++ b/packages/proxy/include/flamingowick/proxy/DispatcherHost.h
@@ -35,7 +35,7 @@
     void end(std::string_view group, const grants::AttemptKey&, grants::Outcome, Duration lasted);
 
     // Takes in an attempt that was started without this host.
-    void running(std::string_view group, const grants::AttemptKey&, std::string_view instance, Duration age);
+    void running(const grants::AttemptKey&, const RunningMessage&);
 
     // The targets of a service have changed.
     void targetsChanged(std::string_view service);
--- a/packages/proxy/include/flamingowick/proxy/PeerLink.h
+++ b/packages/proxy/include/flamingowick/proxy/PeerLink.h
@@ -47,6 +47,7 @@
     std::string group;
     std::string instance;
     Duration age { 0 };
+    std::uint64_t workload { 0 };
 };
 
 struct PresenceMessage {
--- a/packages/proxy/src/DispatcherHost.cpp
+++ b/packages/proxy/src/DispatcherHost.cpp
@@ -92,10 +92,10 @@
     }
 }
 
-void DispatcherHost::running(std::string_view group, const grants::AttemptKey& key, std::string_view instance, Duration age)
+void DispatcherHost::running(const grants::AttemptKey& key, const RunningMessage& message)
 {
-    if (grants::TargetPool* pool = this->poolOf(group))
-        grants::noteStarted(*pool, key, instance, Clock::now() - age);
+    if (grants::TargetPool* pool = this->poolOf(message.group))
+        grants::noteStarted(*pool, key, message.instance, { Clock::now() - message.age, message.workload });
     this->planExpiry();
 }
 
--- a/packages/proxy/src/Entry.cpp
+++ b/packages/proxy/src/Entry.cpp
@@ -115,7 +115,7 @@
                 continue;
         }
         if (member == this->context.fleet.self)
-            this->context.hosted.running(message.group, { this->context.sender, message.number }, message.instance, message.age);
+            this->context.hosted.running({ this->context.sender, message.number }, message);
         else if (known != this->context.fleet.members.end())
             this->context.peers.send(known->second.address, message);
     }
--- a/packages/proxy/src/PeerLink.cpp
+++ b/packages/proxy/src/PeerLink.cpp
@@ -36,6 +36,8 @@
         request.key = { sender, ask.number() };
         request.rank = ask.rank();
         request.repeat = ask.repeat();
+        request.idempotent = ask.idempotent();
+        request.workload = ask.workload();
         request.deadline = now + message.left;
         request.objective = milliseconds(ask.objective());
         request.failureDomain = ask.failure_domain();
@@ -100,6 +102,8 @@
     ask.set_service(message.group);
     ask.set_rank(message.request.rank);
     ask.set_repeat(message.request.repeat);
+    ask.set_idempotent(message.request.idempotent);
+    ask.set_workload(static_cast<std::uint32_t>(message.request.workload));
     ask.set_left(toMilliseconds(message.left));
     ask.set_objective(toMilliseconds(message.request.objective));
     ask.set_failure_domain(message.request.failureDomain);
@@ -140,6 +144,7 @@
     running.set_service(message.group);
     running.set_instance(message.instance);
     running.set_age(toMilliseconds(message.age));
+    running.set_workload(static_cast<std::uint32_t>(message.workload));
 }
 
 void PeerLink::send(const std::string& address, const PresenceMessage& message)
@@ -201,7 +206,7 @@
         this->handlers.onPresence(source, { presence.name(), presence.address(), presence.leaving(), presence.wants_reply() });
     }
     for (const wire::Running& running : datagram.running())
-        this->handlers.onRunning(source, { running.number(), running.service(), running.instance(), milliseconds(running.age()) });
+        this->handlers.onRunning(source, { running.number(), running.service(), running.instance(), milliseconds(running.age()), running.workload() });
     // Ends first: they free slots for the requests behind them.
     for (const wire::End& end : datagram.ends())
         this->handlers.onEnd(source, { end.number(), end.service(), boundedEnum(end.outcome(), grants::Outcome::Abandoned), milliseconds(end.lasted()) });
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -206,7 +206,7 @@
     };
     handlers.onRunning = [this](const PeerSource& source, const RunningMessage& message) {
         this->entries[source.sender] = source.address;
-        this->hosted->running(message.group, { source.sender, message.number }, message.instance, message.age);
+        this->hosted->running({ source.sender, message.number }, message);
     };
     handlers.onPresence = [this](const PeerSource& source, const PresenceMessage& message) { this->takePresence(source, message); };
     return handlers;
--- a/packages/proxy/src/RequestCourse.cpp
+++ b/packages/proxy/src/RequestCourse.cpp
@@ -1,5 +1,7 @@
 #include "RequestCourse.h"
 
+#include "flamingowick/model/StableHash.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -23,6 +25,8 @@
     constexpr Duration answerMargin { milliseconds(20) };
     // Attempts with less time are not worth sending.
     constexpr Duration leastAttempt { milliseconds(20) };
+    // Pause before a further attempt is asked for again beside one that is late.
+    constexpr Duration hedgeRetry { milliseconds(60) };
     constexpr std::size_t maxWarmNamed = 12;
     constexpr std::size_t maxGroupsTried = 3;
 
@@ -90,6 +94,7 @@
     , service(std::move(chosenService))
     , requestId(headerValue(this->caller->request(), this->context.settings.headers.requestId))
     , began(this->caller->requestBegan())
+    , workload(static_cast<std::uint32_t>(stableHash(this->route.name)))
     , timer(this->context.io)
 {
     const Duration patience = callerPatience(this->caller->request(), this->context.settings.headers.timeLeft, this->route.timeout);
@@ -157,6 +162,8 @@
     request.key = { this->context.sender, message.number };
     request.rank = this->route.rank;
     request.repeat = this->asked->repeat;
+    request.idempotent = this->route.idempotent;
+    request.workload = this->workload;
     request.deadline = this->deadline;
     request.objective = this->route.objective;
     request.failureDomain = this->context.settings.failureDomain;
@@ -283,7 +290,7 @@
     const std::uint64_t number = attempt.number;
     attempt.link = this->context.links.start(std::move(spec), [self = this->shared_from_this(), number](AttemptResult result) { self->ended(number, std::move(result)); });
     if (granter != decidedAlone)
-        this->context.own.running(attempt.group, { this->context.sender, number }, attempt.instance, Duration::zero());
+        this->context.own.running({ this->context.sender, number }, { number, attempt.group, attempt.instance, Duration::zero(), this->workload });
     this->entry.activeNumbers.insert(number);
     this->attempts.push_back(std::move(attempt));
     if (this->route.idempotent && this->sentCount < this->route.maxAttempts)
@@ -302,9 +309,11 @@
     this->lastReason = toString(decision.reason);
     this->context.log.write(Weight::Request, "entry", "refused",
         EventFields().text("request", this->requestId).text("group", group).text("reason", this->lastReason).number("waiting", static_cast<std::int64_t>(decision.waiting)).milliseconds("retryAfterMs", decision.retryAfter).flag("repeat", repeat));
-    // Another attempt may still answer.
-    if (!this->attempts.empty())
+    // Another attempt may still answer; if not, there may be room a little later.
+    if (!this->attempts.empty()) {
+        this->hedgeAt = Clock::now() + hedgeRetry;
         return;
+    }
     this->refusedGroups.push_back(group);
     const unsigned count = this->groupTotal();
     if (decision.reason != grants::RefusalReason::NoRetry && this->refusedGroups.size() < std::min<std::size_t>(count, maxGroupsTried)) {
@@ -528,7 +537,7 @@
 {
     for (const Attempt& attempt : this->attempts) {
         if (group.empty() || attempt.group == group)
-            running.push_back({ attempt.number, attempt.group, attempt.instance, Clock::now() - attempt.startedAt });
+            running.push_back({ attempt.number, attempt.group, attempt.instance, Clock::now() - attempt.startedAt, this->workload });
     }
 }
 
--- a/packages/proxy/src/RequestCourse.h
+++ b/packages/proxy/src/RequestCourse.h
@@ -77,6 +77,7 @@
     std::string requestId;
     TimePoint began;
     TimePoint deadline;
+    std::uint64_t workload { 0 };
     Timer timer;
     std::optional<Question> asked;
     std::vector<Attempt> attempts;
