Give 0.7 of a service's targets a request in each 1.85 s; stop reading requests 3 s after SIGTERM

It now closes idle connections and its listener 3 s after SIGTERM and stays until 150 ms before the grace ends.

--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -103,6 +103,10 @@
     double floorShare { 0.5 };
     // Requests that may wait for each slot.
     unsigned waitingPerSlot { 8 };
+    // Share of the targets that gets a request within each window, so that verdicts are tested and the
+    // load never rests on a few.
+    double coverageShare { 0.7 };
+    Duration coverageWindow { std::chrono::milliseconds(1850) };
 };
 
 // An attempt that holds a slot.
@@ -142,8 +146,6 @@
     std::map<AttemptKey, std::string> attempts;
     // In the order in which they are served: by rank, then by arrival.
     std::multimap<unsigned, WaitingRequest> waiting;
-    // Share of recent attempts that failed, to tell when the floor matters.
-    double failureShare { 0 };
     PoolEvents events;
 };
 
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -20,13 +20,6 @@
     // Traffic between failure domains and new connections are priced.
     constexpr double foreignDomainWeight = 0.01;
     constexpr double newConnectionWeight = 0.03;
-    // Pulls a sound target back into use that had no request for a while, when many requests fail.
-    constexpr double idleBonus = 0.25;
-    constexpr Duration idleAfter { milliseconds(1200) };
-    constexpr double idleBonusAboveFailureShare = 0.06;
-    constexpr double soundBelow = 0.3;
-    constexpr double failureShareStep = 0.03;
-
     // An attempt whose end was never reported gives its slot back after this time.
     constexpr Duration attemptLimit { seconds(12) };
     // Share of answers by whose time a waiting request must still be able to finish.
@@ -77,7 +70,7 @@
         return own != pool.workloads.end() && own->second.count >= ownProfileAnswers ? own->second : pool.latency;
     }
 
-    double costOf(const TargetPool& pool, const Candidate& candidate, const GrantRequest& request, TimePoint now)
+    double costOf(const Candidate& candidate, const GrantRequest& request, TimePoint now)
     {
         const PooledTarget& target = *candidate.target;
         const unsigned used = usedSlots(target);
@@ -90,8 +83,6 @@
             cost += foreignDomainWeight;
         if (!contains(request.warm, target.listed.instance))
             cost += newConnectionWeight;
-        if (pool.failureShare > idleBonusAboveFailureShare && candidate.failing < soundBelow && now - target.lastGranted > idleAfter)
-            cost -= idleBonus;
         return cost;
     }
 
@@ -101,8 +92,38 @@
         bool anyEligible { false };
     };
 
+    // Returns the likeliest sound target among those without a recent request when too few targets have
+    // had one; none when coverage is good.
+    Choice chooseForCoverage(TargetPool& pool, const GrantRequest& request, TimePoint now)
+    {
+        Choice choice;
+        std::size_t present = 0;
+        std::size_t covered = 0;
+        for (auto& [instance, target] : pool.targets) {
+            if (target.listed.leaving)
+                continue;
+            ++present;
+            if (now - target.lastGranted < pool.limits.coverageWindow) {
+                ++covered;
+                continue;
+            }
+            if (usedSlots(target) >= target.listed.slots || contains(request.avoid, instance))
+                continue;
+            const double probability = failing(pool, target, now);
+            if (!choice.target || probability < choice.failing) {
+                choice.target = &target;
+                choice.failing = probability;
+            }
+        }
+        if (covered >= static_cast<std::size_t>(std::ceil(pool.limits.coverageShare * static_cast<double>(present))))
+            choice.target = nullptr;
+        return choice;
+    }
+
     Choice choose(TargetPool& pool, const GrantRequest& request, TimePoint now)
     {
+        if (Choice untested = chooseForCoverage(pool, request, now); untested.target)
+            return untested;
         Choice choice;
         double best = 0;
         for (const Candidate& candidate : eligibleTargets(pool, now)) {
@@ -111,7 +132,7 @@
             choice.anyEligible = true;
             if (usedSlots(*candidate.target) >= candidate.target->listed.slots)
                 continue;
-            const double cost = costOf(pool, candidate, request, now);
+            const double cost = costOf(candidate, request, now);
             if (!choice.target || cost < best) {
                 choice.target = candidate.target;
                 choice.failing = candidate.failing;
@@ -208,8 +229,6 @@
         return std::any_of(pool.waiting.begin(), pool.waiting.end(), [&key](const auto& item) { return item.second.request.key == key; });
     }
 
-    bool isFailure(Outcome outcome) noexcept { return outcome == Outcome::Failed || outcome == Outcome::Broken || outcome == Outcome::Hung; }
-
 }
 
 std::string_view toString(RefusalReason reason) noexcept
@@ -321,8 +340,6 @@
     pool.attempts.erase(attempt);
     if (outcome == Outcome::Succeeded)
         learnLatency(pool, workload, lasted);
-    if (outcome != Outcome::Abandoned)
-        pool.failureShare += failureShareStep * ((isFailure(outcome) ? 1.0 : 0.0) - pool.failureShare);
     return serveWaiting(pool, now);
 }
 
--- a/packages/proxy/include/flamingowick/proxy/ProxySettings.h
+++ b/packages/proxy/include/flamingowick/proxy/ProxySettings.h
@@ -34,8 +34,8 @@
     // The platform's store.
     std::string storeAddress;
     HeaderNames headers;
-    // How long a stopping process may go on.
-    Duration stopLimit { std::chrono::seconds(5) };
+    // After so long the platform kills a process that was told to stop.
+    Duration stopGrace { std::chrono::seconds(6) };
     // Attempts beyond the first that a service's requests may cost, and those beyond that share in
     // any budget window.
     double retryRatio { 0.1 };
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -16,6 +16,10 @@
     constexpr Duration flushInterval { milliseconds(100) };
     // The balancer asks once a second and looks away after two misses.
     constexpr Duration leastStop { milliseconds(2800) };
+    // Then nobody is sent here any more: what comes later could not be finished in time.
+    constexpr Duration acceptWhileStopping { milliseconds(3000) };
+    // Time to leave in order before the platform kills the process.
+    constexpr Duration stopMargin { milliseconds(150) };
     constexpr Duration stopCheck { milliseconds(100) };
     // Descriptors that are left for targets, peers and the store.
     constexpr unsigned maxCallerConnections = 3000;
@@ -349,7 +353,9 @@
 {
     const Duration passed = Clock::now() - this->stopBegan;
     const bool idle = this->entry->running() == 0 && this->callers->servingCount() == 0;
-    if ((idle && passed >= leastStop) || passed >= this->settings.stopLimit) {
+    if (passed >= acceptWhileStopping)
+        this->callers->closeIdle();
+    if ((idle && passed >= leastStop) || passed >= this->settings.stopGrace - stopMargin) {
         this->log.write(Weight::Process, "daemon", "stopped", EventFields().number("running", static_cast<std::int64_t>(this->entry->running())).milliseconds("tookMs", passed));
         this->log.flush();
         this->callers->closeIdle();
@@ -365,7 +371,7 @@
 
 void Proxy::reload(const ProxySettings& changed)
 {
-    this->settings.stopLimit = changed.stopLimit;
+    this->settings.stopGrace = changed.stopGrace;
     this->settings.logLinesPerSecond = changed.logLinesPerSecond;
     this->settings.retryRatio = changed.retryRatio;
     this->settings.retryBurst = changed.retryBurst;
--- a/packages/proxy/src/ProxySettingsText.cpp
+++ b/packages/proxy/src/ProxySettingsText.cpp
@@ -4,6 +4,9 @@
 #include "flamingowick/settings/detail/JsonParser.h"
 #include "flamingowick/settings/detail/TextRules.h"
 
+#include <charconv>
+#include <optional>
+
 namespace flamingowick::proxy {
 
 namespace {
@@ -14,6 +17,34 @@
     using std::chrono::milliseconds;
     using std::chrono::minutes;
 
+    // Durations such as "6s" and "1500ms".
+    std::optional<Duration> durationOf(std::string_view text)
+    {
+        double number = 0;
+        const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+        const std::string_view unit = text.substr(static_cast<std::size_t>(result.ptr - text.data()));
+        if (result.ec != std::errc() || number < 0 || number > 1e6)
+            return std::nullopt;
+        if (unit == "ms")
+            return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(number));
+        if (unit == "s")
+            return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(number));
+        return std::nullopt;
+    }
+
+    std::string_view checkDuration(std::string_view text) noexcept
+    {
+        return durationOf(text) ? "" : "must be a number with the unit ms or s";
+    }
+
+    void readDuration(ObjectReader& reader, std::string_view name, Duration& value)
+    {
+        std::string text;
+        readText(reader, name, Presence::Optional, checkDuration, text);
+        if (!text.empty())
+            value = durationOf(text).value_or(value);
+    }
+
     void checkDiffer(const ProxySettings& settings, const JsonValue& root, FindingList& findings)
     {
         const auto contradict = [&root, &findings](std::string_view pointer, std::string_view other) {
@@ -41,7 +72,7 @@
         readText(reader, "metricsAddress", Presence::Optional, checkAddress, settings.metricsAddress);
         readText(reader, "peerAddress", Presence::Required, checkAddress, settings.peerAddress);
         readText(reader, "storeAddress", Presence::Required, checkAddress, settings.storeAddress);
-        readMilliseconds(reader, "stopLimitMs", { milliseconds(100), minutes(10) }, settings.stopLimit);
+        readDuration(reader, "stopGrace", settings.stopGrace);
         readMilliseconds(reader, "lapseGraceMs", { milliseconds(0), minutes(1) }, settings.lapseGrace);
         readNumber(reader, "retryRatio", { 0, 10 }, settings.retryRatio);
         readNumber(reader, "retryBurst", { 0, 1e6 }, settings.retryBurst);
