--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -134,6 +134,12 @@
     std::uint64_t quarantined { 0 };
 };
 
+// How often slots become free, as an exponentially weighted rate.
+struct ReleaseRate {
+    double perSecond { 0 };
+    TimePoint at;
+};
+
 struct TargetPool {
     PoolLimits limits;
     BeliefModel model;
@@ -146,6 +152,7 @@
     std::map<AttemptKey, std::string> attempts;
     // In the order in which they are served: by rank, then by arrival.
     std::multimap<unsigned, WaitingRequest> waiting;
+    ReleaseRate releases;
     PoolEvents events;
 };
 
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -20,10 +20,18 @@
     // Traffic between failure domains and new connections are priced.
     constexpr double foreignDomainWeight = 0.01;
     constexpr double newConnectionWeight = 0.03;
+    // Memory of the pace at which slots become free, and the least share of the undisturbed pace that is
+    // assumed, so that a lull is not taken for a standstill.
+    constexpr double releaseMemorySeconds = 1;
+    constexpr double leastPaceShare = 0.1;
+
     // An attempt whose end was never reported gives its slot back after this time.
     constexpr Duration attemptLimit { seconds(12) };
     // Share of answers by whose time a waiting request must still be able to finish.
     constexpr double servedQuantile = 0.6;
+    // Share of answers by whose time a request that waits should finish within its objective.
+    constexpr double timelyQuantile = 0.7;
+    constexpr int leastWaitPart = 4;
     // Share of answers after which one without an answer is unusual.
     constexpr double unusualQuantile = 0.97;
     constexpr Duration leastRetryAfter { milliseconds(100) };
@@ -178,11 +186,26 @@
         return slots;
     }
 
-    // How long until the given number of waiting requests has been served.
-    Duration expectedWait(const TargetPool& pool, std::size_t ahead, unsigned slots)
+    double currentRate(const ReleaseRate& releases, TimePoint now) noexcept
+    {
+        const double elapsed = std::chrono::duration<double>(now - releases.at).count();
+        return releases.perSecond * std::exp(-elapsed / releaseMemorySeconds);
+    }
+
+    void recordRelease(ReleaseRate& releases, TimePoint now) noexcept
+    {
+        releases.perSecond = currentRate(releases, now) + 1 / releaseMemorySeconds;
+        releases.at = now;
+    }
+
+    // How long until the given number of waiting requests has been served: by the pace at which slots
+    // became free of late, or by the usual latency while little is known of that.
+    Duration expectedWait(const TargetPool& pool, std::size_t ahead, unsigned slots, TimePoint now)
     {
-        const auto typical = static_cast<double>(quantile(pool.latency, 0.5).count());
-        return Duration(static_cast<Duration::rep>(typical * (static_cast<double>(ahead) + 1) / std::max(1U, slots)));
+        const double typical = std::chrono::duration<double>(quantile(pool.latency, 0.5)).count();
+        const double fresh = std::max(1U, slots) / std::max(typical, 1e-3);
+        const double rate = std::max(currentRate(pool.releases, now), fresh * leastPaceShare);
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((static_cast<double>(ahead) + 1) / rate));
     }
 
     // The last moment at which a waiting request is still worth sending.
@@ -191,6 +214,14 @@
         return request.deadline - quantile(profileOf(pool, request.workload), servedQuantile);
     }
 
+    // The longest wait that a request is let into the queue for. A longer queue serves no more requests
+    // when targets are short of slots; it only makes all of them late.
+    Duration longestWait(const TargetPool& pool, const GrantRequest& request)
+    {
+        const Duration timely = request.objective - quantile(profileOf(pool, request.workload), timelyQuantile);
+        return std::max<Duration>(timely, request.objective / leastWaitPart);
+    }
+
     std::vector<Decision> serveWaiting(TargetPool& pool, TimePoint now)
     {
         std::vector<Decision> decisions;
@@ -303,10 +334,10 @@
         return { refuse(pool, request.key, RefusalReason::NoTarget, seconds(1)) };
     const auto ahead = static_cast<std::size_t>(std::distance(pool.waiting.begin(), pool.waiting.upper_bound(request.rank)));
     const unsigned slots = eligibleSlots(pool, now);
-    const Duration wait = expectedWait(pool, ahead, slots);
+    const Duration wait = expectedWait(pool, ahead, slots, now);
     // Further attempts don't queue: their first attempt may still answer.
-    if (request.repeat || ahead >= std::size_t { pool.limits.waitingPerSlot } * slots || now + wait > lastUsefulStart(pool, request))
-        return { refuse(pool, request.key, RefusalReason::NoRoom, expectedWait(pool, pool.waiting.size(), slots)) };
+    if (request.repeat || ahead >= std::size_t { pool.limits.waitingPerSlot } * slots || now + wait > lastUsefulStart(pool, request) || wait > longestWait(pool, request))
+        return { refuse(pool, request.key, RefusalReason::NoRoom, expectedWait(pool, pool.waiting.size(), slots, now)) };
     const unsigned rank = request.rank;
     pool.waiting.emplace(rank, WaitingRequest { std::move(request), now });
     return {};
@@ -338,6 +369,7 @@
         observe(target->second.belief, pool.model, profileOf(pool, workload), outcome, lasted, now);
     }
     pool.attempts.erase(attempt);
+    recordRelease(pool.releases, now);
     if (outcome == Outcome::Succeeded)
         learnLatency(pool, workload, lasted);
     return serveWaiting(pool, now);
@@ -375,7 +407,7 @@
         }
         const AttemptKey key = waiting->second.request.key;
         waiting = pool.waiting.erase(waiting);
-        decisions.push_back(refuse(pool, key, RefusalReason::NoRoom, expectedWait(pool, pool.waiting.size(), slots)));
+        decisions.push_back(refuse(pool, key, RefusalReason::NoRoom, expectedWait(pool, pool.waiting.size(), slots, now)));
     }
     return decisions;
 }
