--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -153,6 +153,8 @@
     // In the order in which they are served: by rank, then by arrival.
     std::multimap<unsigned, WaitingRequest> waiting;
     ReleaseRate releases;
+    // Since when requests have been waiting without a break; the pace tells of the capacity only then.
+    std::optional<TimePoint> saturatedSince;
     PoolEvents events;
 };
 
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -203,8 +203,11 @@
     Duration expectedWait(const TargetPool& pool, std::size_t ahead, unsigned slots, TimePoint now)
     {
         const double typical = std::chrono::duration<double>(quantile(pool.latency, 0.5)).count();
-        const double fresh = std::max(1U, slots) / std::max(typical, 1e-3);
-        const double rate = std::max(currentRate(pool.releases, now), fresh * leastPaceShare);
+        const double undisturbed = std::max(1U, slots) / std::max(typical, 1e-3);
+        const double saturated = pool.saturatedSince ? std::chrono::duration<double>(now - *pool.saturatedSince).count() : 0;
+        const double trust = 1 - std::exp(-saturated / releaseMemorySeconds);
+        const double observed = std::max(currentRate(pool.releases, now), undisturbed * leastPaceShare);
+        const double rate = trust * observed + (1 - trust) * undisturbed;
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((static_cast<double>(ahead) + 1) / rate));
     }
 
@@ -234,6 +237,8 @@
             decisions.push_back(grant(pool, waiting->second.request, choice, now));
             waiting = pool.waiting.erase(waiting);
         }
+        if (pool.waiting.empty())
+            pool.saturatedSince.reset();
         return decisions;
     }
 
@@ -340,6 +345,8 @@
         return { refuse(pool, request.key, RefusalReason::NoRoom, expectedWait(pool, pool.waiting.size(), slots, now)) };
     const unsigned rank = request.rank;
     pool.waiting.emplace(rank, WaitingRequest { std::move(request), now });
+    if (!pool.saturatedSince)
+        pool.saturatedSince = now;
     return {};
 }
 
