--- a/packages/proxy/include/flamingowick/proxy/Fleet.h
+++ b/packages/proxy/include/flamingowick/proxy/Fleet.h
@@ -17,12 +17,14 @@
 
 struct FleetMember {
     std::string name;
-    // UDP address as "ip:port".
+    // UDP and TCP address as "ip:port".
     std::string address;
+    std::string failureDomain;
 };
 
 struct KnownMember {
     std::string address;
+    std::string failureDomain;
     bool leaving { false };
     // Failed to answer; not asked until it is heard again.
     bool suspected { false };
--- a/platform/include/flamingowick/adapter/StoreClient.h
+++ b/packages/proxy/include/flamingowick/proxy/HttpClient.h
@@ -9,10 +9,10 @@
 #include <unordered_set>
 #include <vector>
 
-// HTTP calls to the platform's store, on the daemon's own thread.
-namespace flamingowick::adapter {
+// HTTP calls to one server, on the daemon's own thread, over kept connections.
+namespace flamingowick::proxy {
 
-struct StoreAnswer {
+struct HttpReply {
     // 0 when no whole answer came; the call may then have been executed.
     unsigned status { 0 };
     std::string body;
@@ -20,9 +20,9 @@
     std::string reason;
 };
 
-using AnswerHandler = std::function<void(StoreAnswer)>;
+using ReplyHandler = std::function<void(HttpReply)>;
 
-struct StoreCall {
+struct HttpCall {
     std::string method { "GET" };
     std::string path;
     std::string body;
@@ -30,30 +30,30 @@
     Duration timeout { std::chrono::seconds(1) };
 };
 
-class StoreConnection;
+class HttpClientConnection;
 
-class StoreClient {
+class HttpClient {
 public:
     // address: "ip:port". Throws SettingsError 111 when it is none.
-    StoreClient(asio::io_context&, std::string_view address);
-    ~StoreClient();
-    StoreClient(const StoreClient&) = delete;
-    StoreClient& operator=(const StoreClient&) = delete;
+    HttpClient(asio::io_context&, std::string_view address);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
 
     // Makes the call on a kept connection or a new one; the handler is called once, later.
-    void call(StoreCall, AnswerHandler);
+    void call(HttpCall, ReplyHandler);
 
     // Gives up all calls that are under way; each handler gets an answer without a status.
     void abandonAll(std::string_view reason);
 
 private:
-    friend class StoreConnection;
+    friend class HttpClientConnection;
 
     asio::io_context& io;
     asio::ip::tcp::endpoint endpoint;
     std::string host;
-    std::vector<std::shared_ptr<StoreConnection>> idle;
-    std::unordered_set<std::shared_ptr<StoreConnection>> busy;
+    std::vector<std::shared_ptr<HttpClientConnection>> idle;
+    std::unordered_set<std::shared_ptr<HttpClientConnection>> busy;
 };
 
 }
--- a/packages/proxy/include/flamingowick/proxy/PeerLink.h
+++ b/packages/proxy/include/flamingowick/proxy/PeerLink.h
@@ -55,6 +55,7 @@
     std::string address;
     bool leaving { false };
     bool wantsReply { false };
+    std::string failureDomain;
 };
 
 // Who sent a datagram: differs between lives of a daemon.
--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -22,10 +22,9 @@
     // Puts a configuration in force, unless one as new is.
     void setConfiguration(Configuration);
 
-    // Take in what the store says of targets.
-    void replaceTargets(const std::map<std::string, TargetEntry>&);
-    void putTarget(const TargetEntry&);
-    void removeTarget(std::string_view instance);
+    // Takes in targets that were written and instances whose entries were removed. To be called once at
+    // the start even when there are none.
+    void changeTargets(std::span<const TargetEntry> written, std::span<const std::string> removed);
 
     // The store gives no answers, or does again.
     void storeAway(std::string_view reason);
@@ -34,6 +33,14 @@
     // Takes in the daemons that the store lists.
     void setMembers(std::span<const FleetMember>);
 
+    // A member did not answer a question.
+    void memberSilent(const std::string& name);
+
+    Fleet& knownFleet() noexcept { return this->fleet; }
+
+    // Called when the fleet or whom this daemon reaches of it has changed.
+    std::function<void()> onFleetChange;
+
     // Members whose objects this daemon is to remove from the store.
     std::vector<std::string> membersToRemove();
 
@@ -54,6 +61,7 @@
     void applyChange(const DirectoryChange&);
     void planDirectoryExpiry();
     void planProbes();
+    void fleetChanged();
     void hear(const PeerSource&);
     void takeAsk(const PeerSource&, AskMessage);
     void takePresence(const PeerSource&, const PresenceMessage&);
--- a/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,14 +62,9 @@
     std::vector<std::string> kept;
 };
 
-// Takes in all entries at once; entries not among them have vanished.
-DirectoryChange replaceEntries(TargetDirectory&, const std::map<std::string, TargetEntry>&, TimePoint now);
-
-// Takes in one entry. An entry that said that it leaves stays so until its target starts anew.
-DirectoryChange putEntry(TargetDirectory&, const TargetEntry&, TimePoint now);
-
-// Takes in that an entry was removed, or can't be read any more.
-DirectoryChange removeEntry(TargetDirectory&, std::string_view instance, TimePoint now);
+// Takes in entries that were written, and instances whose entries were removed or can't be read any
+// more. An entry that said that it leaves stays so until its target starts anew.
+DirectoryChange changeEntries(TargetDirectory&, std::span<const TargetEntry> written, std::span<const std::string> removed, TimePoint now);
 
 void noteStoreAway(TargetDirectory&);
 void noteStoreBack(TargetDirectory&, TimePoint now);
--- a/packages/proxy/src/Fleet.cpp
+++ b/packages/proxy/src/Fleet.cpp
@@ -40,6 +40,7 @@
         if (const auto known = fleet.members.find(member.name); known != fleet.members.end() && known->second.address == member.address)
             next = known->second;
         next.address = member.address;
+        next.failureDomain = member.failureDomain;
         members.emplace(member.name, std::move(next));
     }
     for (const auto& [name, member] : fleet.members) {
@@ -56,6 +57,7 @@
     KnownMember& known = fleet.members[member.name];
     known = KnownMember {};
     known.address = member.address;
+    known.failureDomain = member.failureDomain;
     known.joinedAt = now;
     reindex(fleet);
 }
--- a/platform/src/StoreClient.cpp
+++ b/packages/proxy/src/HttpClient.cpp
@@ -1,31 +1,31 @@
-#include "flamingowick/adapter/StoreClient.h"
+#include "flamingowick/proxy/HttpClient.h"
 
 #include "flamingowick/proxy/HttpMessage.h"
 
 #include <asio/write.hpp>
 
-namespace flamingowick::adapter {
+namespace flamingowick::proxy {
 
 namespace {
 
     constexpr std::size_t readBytes = 16U << 10U;
-    // A page of objects is a little over one megabyte at most.
-    constexpr proxy::ReadLimits answerLimits { 64U << 10U, 16U << 20U };
+    // Large enough for a page of the store's objects and for all that a relay holds.
+    constexpr ReadLimits answerLimits { 64U << 10U, 16U << 20U };
 
 }
 
-class StoreConnection : public std::enable_shared_from_this<StoreConnection> {
+class HttpClientConnection : public std::enable_shared_from_this<HttpClientConnection> {
 public:
-    explicit StoreConnection(StoreClient& client)
+    explicit HttpClientConnection(HttpClient& client)
         : owner(client)
         , socket(client.io)
         , timer(client.io)
-        , reader(proxy::MessageReader::Kind::Answers, answerLimits)
+        , reader(MessageReader::Kind::Answers, answerLimits)
         , inputBuffer(readBytes, '\0')
     {
     }
 
-    void begin(const StoreCall& call, AnswerHandler answerHandler)
+    void begin(const HttpCall& call, ReplyHandler answerHandler)
     {
         this->handler = std::move(answerHandler);
         this->reader.restart(answerLimits);
@@ -49,17 +49,17 @@
                 self->conclude({ 0, {}, "connect: " + error.message() }, false);
                 return;
             }
-            proxy::tuneSocket(self->socket);
+            tuneSocket(self->socket);
             self->send();
         });
     }
 
-    void conclude(StoreAnswer answer, bool keep)
+    void conclude(HttpReply answer, bool keep)
     {
         if (!this->handler)
             return;
-        const std::shared_ptr<StoreConnection> self = this->shared_from_this();
-        const AnswerHandler done = std::move(this->handler);
+        const std::shared_ptr<HttpClientConnection> self = this->shared_from_this();
+        const ReplyHandler done = std::move(this->handler);
         this->handler = nullptr;
         this->timer.cancel();
         this->owner.busy.erase(self);
@@ -103,8 +103,8 @@
     void afterRead(const asio::error_code& error, std::size_t size)
     {
         if (!this->handler) {
-            // The store closed an idle connection.
-            const std::shared_ptr<StoreConnection> self = this->shared_from_this();
+            // The server closed an idle connection.
+            const std::shared_ptr<HttpClientConnection> self = this->shared_from_this();
             this->close();
             std::erase(this->owner.idle, self);
             return;
@@ -114,41 +114,41 @@
             return;
         }
         const std::size_t taken = this->reader.take(std::string_view(this->inputBuffer).substr(0, size));
-        if (this->reader.state() == proxy::ReadState::Incomplete) {
+        if (this->reader.state() == ReadState::Incomplete) {
             this->read();
             return;
         }
-        if (this->reader.state() != proxy::ReadState::Complete) {
+        if (this->reader.state() != ReadState::Complete) {
             this->conclude({ 0, {}, "the answer can't be read" }, false);
             return;
         }
-        proxy::HttpMessage& message = this->reader.message();
+        HttpMessage& message = this->reader.message();
         const bool keep = message.keepAlive && taken == size;
-        StoreAnswer answer { message.status, std::move(message.body), {} };
+        HttpReply answer { message.status, std::move(message.body), {} };
         if (keep)
             this->read();
         this->conclude(std::move(answer), keep);
     }
 
-    StoreClient& owner;
+    HttpClient& owner;
     asio::ip::tcp::socket socket;
-    proxy::Timer timer;
-    proxy::MessageReader reader;
+    Timer timer;
+    MessageReader reader;
     std::string inputBuffer;
     std::string output;
-    AnswerHandler handler;
+    ReplyHandler handler;
     bool reading { false };
     bool closed { false };
 };
 
-StoreClient::StoreClient(asio::io_context& ioContext, std::string_view address)
+HttpClient::HttpClient(asio::io_context& ioContext, std::string_view address)
     : io(ioContext)
-    , endpoint(proxy::tcpEndpoint(address))
+    , endpoint(tcpEndpoint(address))
     , host(address)
 {
 }
 
-StoreClient::~StoreClient()
+HttpClient::~HttpClient()
 {
     for (const auto& connection : this->idle)
         connection->close();
@@ -156,11 +156,11 @@
         connection->close();
 }
 
-void StoreClient::call(StoreCall call, AnswerHandler handler)
+void HttpClient::call(HttpCall call, ReplyHandler handler)
 {
-    std::shared_ptr<StoreConnection> connection;
+    std::shared_ptr<HttpClientConnection> connection;
     if (this->idle.empty()) {
-        connection = std::make_shared<StoreConnection>(*this);
+        connection = std::make_shared<HttpClientConnection>(*this);
     } else {
         connection = this->idle.back();
         this->idle.pop_back();
@@ -169,12 +169,12 @@
     connection->begin(call, std::move(handler));
 }
 
-void StoreClient::abandonAll(std::string_view reason)
+void HttpClient::abandonAll(std::string_view reason)
 {
     for (const auto& connection : this->idle)
         connection->close();
     this->idle.clear();
-    const std::vector<std::shared_ptr<StoreConnection>> present(this->busy.begin(), this->busy.end());
+    const std::vector<std::shared_ptr<HttpClientConnection>> present(this->busy.begin(), this->busy.end());
     for (const auto& connection : present)
         connection->conclude({ 0, {}, std::string(reason) }, false);
 }
--- a/packages/proxy/src/PeerLink.cpp
+++ b/packages/proxy/src/PeerLink.cpp
@@ -154,6 +154,7 @@
     presence.set_address(message.address);
     presence.set_leaving(message.leaving);
     presence.set_wants_reply(message.wantsReply);
+    presence.set_failure_domain(message.failureDomain);
 }
 
 void PeerLink::flush()
@@ -203,7 +204,7 @@
     const TimePoint now = Clock::now();
     if (datagram.has_presence()) {
         const wire::Presence& presence = datagram.presence();
-        this->handlers.onPresence(source, { presence.name(), presence.address(), presence.leaving(), presence.wants_reply() });
+        this->handlers.onPresence(source, { presence.name(), presence.address(), presence.leaving(), presence.wants_reply(), presence.failure_domain() });
     }
     for (const wire::Running& running : datagram.running())
         this->handlers.onRunning(source, { running.number(), running.service(), running.instance(), milliseconds(running.age()), running.workload() });
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -44,7 +44,7 @@
 {
     this->directory.limits.lapseGrace = this->settings.lapseGrace;
     this->fleet.self = this->settings.vm;
-    addMember(this->fleet, { this->settings.vm, this->settings.peerAddress }, Clock::now());
+    addMember(this->fleet, { this->settings.vm, this->settings.peerAddress, this->settings.failureDomain }, Clock::now());
     this->peers = std::make_unique<PeerLink>(this->io, this->settings.peerAddress, this->sender, this->peerHandlers());
     // Two dispatchers may hold one group for a moment, so each pool keeps below half of the budget.
     constexpr double hostedShare = 0.4;
@@ -53,7 +53,10 @@
     this->own = std::make_unique<DispatcherHost>(this->io, "alone", this->settings, hostedShare, this->log,
         portsFor([this](const grants::Decision& decision) { this->decideOwn(decision); }, this->directory));
     this->links = std::make_unique<TargetLinks>(this->io, this->settings.headers);
-    this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->inForce, this->directory, this->fleet, *this->peers, *this->hosted, *this->own, *this->links, this->log, this->metrics, this->sender, [this] { this->planProbes(); } });
+    this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->inForce, this->directory, this->fleet, *this->peers, *this->hosted, *this->own, *this->links, this->log, this->metrics, this->sender, [this] {
+                                                                     this->planProbes();
+                                                                     this->fleetChanged();
+                                                                 } });
     this->entry = std::make_unique<Entry>(*this->context);
     const auto limits = [this] { return this->inForce ? this->inForce->configuration.limits : CallerLimits {}; };
     this->readiness = std::make_unique<CallerServer>(this->io, this->settings.readyAddress, maxServiceConnections,
@@ -111,20 +114,10 @@
     this->planFlush();
 }
 
-void Proxy::replaceTargets(const std::map<std::string, TargetEntry>& entries)
+void Proxy::changeTargets(std::span<const TargetEntry> written, std::span<const std::string> removed)
 {
     this->targetsKnown = true;
-    this->applyChange(replaceEntries(this->directory, entries, Clock::now()));
-}
-
-void Proxy::putTarget(const TargetEntry& target)
-{
-    this->applyChange(putEntry(this->directory, target, Clock::now()));
-}
-
-void Proxy::removeTarget(std::string_view instance)
-{
-    this->applyChange(removeEntry(this->directory, instance, Clock::now()));
+    this->applyChange(changeEntries(this->directory, written, removed, Clock::now()));
 }
 
 void Proxy::applyChange(const DirectoryChange& change)
@@ -185,14 +178,30 @@
         this->log.write(Weight::Process, "fleet", "members", EventFields().number("count", static_cast<std::int64_t>(this->fleet.members.size())).number("before", static_cast<std::int64_t>(before)));
     if (before <= 1)
         this->announce(false, true);
+    this->fleetChanged();
+}
+
+void Proxy::memberSilent(const std::string& name)
+{
+    if (!flamingowick::proxy::memberSilent(this->fleet, name, Clock::now()))
+        return;
+    this->log.write(Weight::Process, "fleet", "member-silent", EventFields().text("member", name).text("asked", "state"));
+    this->planProbes();
+    this->fleetChanged();
+}
+
+void Proxy::fleetChanged()
+{
     this->planFlush();
+    if (this->onFleetChange)
+        this->onFleetChange();
 }
 
 void Proxy::announce(bool leaving, bool wantsReply)
 {
     for (const auto& [name, member] : this->fleet.members) {
         if (name != this->fleet.self)
-            this->peers->send(member.address, PresenceMessage { this->settings.vm, this->settings.peerAddress, leaving, wantsReply });
+            this->peers->send(member.address, PresenceMessage { this->settings.vm, this->settings.peerAddress, leaving, wantsReply, this->settings.failureDomain });
     }
 }
 
@@ -221,8 +230,10 @@
     const std::string name(nameAt(this->fleet, source.address));
     if (name.empty())
         return;
-    if (memberHeard(this->fleet, name))
+    if (memberHeard(this->fleet, name)) {
         this->log.write(Weight::Process, "fleet", "member-heard", EventFields().text("member", name));
+        this->fleetChanged();
+    }
     std::uint64_t& life = this->lives[source.address];
     const bool restarted = life != 0 && life != source.sender;
     life = source.sender;
@@ -255,14 +266,16 @@
         if (known != this->fleet.members.end() && !known->second.leaving) {
             memberLeaves(this->fleet, message.name);
             this->log.write(Weight::Process, "fleet", "member-leaving", EventFields().text("member", message.name));
+            this->fleetChanged();
         }
     } else if (known == this->fleet.members.end() || known->second.address != source.address || known->second.leaving) {
-        addMember(this->fleet, { message.name, source.address }, Clock::now());
+        addMember(this->fleet, { message.name, source.address, message.failureDomain }, Clock::now());
         this->log.write(Weight::Process, "fleet", "member-joined", EventFields().text("member", message.name).text("address", source.address));
+        this->fleetChanged();
     }
     this->hear(source);
     if (message.wantsReply)
-        this->peers->send(source.address, PresenceMessage { this->settings.vm, this->settings.peerAddress, this->stopping, false });
+        this->peers->send(source.address, PresenceMessage { this->settings.vm, this->settings.peerAddress, this->stopping, false, this->settings.failureDomain });
     this->planFlush();
 }
 
@@ -297,7 +310,7 @@
         if (error)
             return;
         for (const std::string& name : dueProbes(this->fleet, Clock::now()))
-            this->peers->send(this->fleet.members.at(name).address, PresenceMessage { this->settings.vm, this->settings.peerAddress, this->stopping, true });
+            this->peers->send(this->fleet.members.at(name).address, PresenceMessage { this->settings.vm, this->settings.peerAddress, this->stopping, true, this->settings.failureDomain });
         this->planProbes();
     });
 }
--- /dev/null
+++ b/packages/proxy/src/StateFeed.cpp
@@ -0,0 +1,324 @@
+#include "flamingowick/proxy/StateFeed.h"
+
+#include "flamingowick/model/StableHash.h"
+
+#include <state.pb.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace flamingowick::proxy {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using telemetry::EventFields;
+    using telemetry::Weight;
+
+    constexpr unsigned maxPeerConnections = 512;
+    constexpr std::string_view statePath = "/state";
+    constexpr std::array<std::string_view, allStateKinds.size()> kindNames { "configuration", "targets", "members" };
+
+    std::uint64_t parameter(std::string_view target, std::string_view name)
+    {
+        const std::string wanted = std::string(name).append("=");
+        const std::size_t at = target.find(wanted);
+        std::uint64_t value = 0;
+        if (at != std::string_view::npos)
+            std::from_chars(target.data() + at + wanted.size(), target.data() + target.size(), value);
+        return value;
+    }
+
+    void writeDelta(const KindCache& cache, StateKind kind, std::uint64_t seen, wire::StateAnswer& answer)
+    {
+        const StateDelta delta = changesSince(cache, seen);
+        wire::KindState& state = *answer.add_kinds();
+        state.set_kind(static_cast<std::uint32_t>(kind));
+        state.set_revision(delta.revision);
+        state.set_whole(delta.whole);
+        for (const StateChange& change : delta.changes) {
+            wire::StateObject& object = *state.add_objects();
+            object.set_name(change.object.name);
+            object.set_revision(change.object.revision);
+            object.set_payload(change.object.payload);
+            object.set_removed(change.removed);
+        }
+    }
+
+}
+
+std::vector<std::string> relaysOf(Fleet& fleet, std::string_view failureDomain, const FeedLimits& limits)
+{
+    std::vector<std::string> near;
+    std::vector<std::string> all = dispatchersOf(fleet, "relays");
+    std::size_t present = 0;
+    for (const auto& [name, member] : fleet.members)
+        present += member.failureDomain == failureDomain ? 1 : 0;
+    const std::size_t wanted = std::max(limits.relaysAsked, (present + limits.daemonsForEachRelay - 1) / limits.daemonsForEachRelay);
+    for (const std::string& name : all) {
+        if (fleet.members.at(name).failureDomain == failureDomain)
+            near.push_back(name);
+    }
+    std::vector<std::string>& chosen = near.empty() ? all : near;
+    if (chosen.size() > wanted)
+        chosen.resize(wanted);
+    return chosen;
+}
+
+// A relay that this daemon follows.
+struct StateFeed::Followed {
+    Followed(asio::io_context& io, std::string memberName, const std::string& address)
+        : name(std::move(memberName))
+        , client(io, address)
+        , pause(io)
+    {
+    }
+
+    std::string name;
+    HttpClient client;
+    Timer pause;
+    bool dropped { false };
+};
+
+StateFeed::StateFeed(asio::io_context& ioContext, std::string_view address, std::string ownDomain, Fleet& knownFleet, telemetry::EventLog& eventLog, FeedPorts feedPorts)
+    : io(ioContext)
+    , failureDomain(std::move(ownDomain))
+    , fleet(knownFleet)
+    , log(eventLog)
+    , ports(std::move(feedPorts))
+    , heldTimer(ioContext)
+    , reviewTimer(ioContext)
+    , lastContact(Clock::now() - this->limits.contactLimit)
+    , directUntil(lastContact)
+{
+    this->server = std::make_unique<CallerServer>(this->io, address, maxPeerConnections,
+        CallerServerHandlers { [] { return CallerLimits {}; }, [this](const std::shared_ptr<CallerConnection>& connection) { this->takeQuestion(connection); } });
+}
+
+StateFeed::~StateFeed() = default;
+
+Duration StateFeed::contactAge() const
+{
+    return Clock::now() - this->lastContact;
+}
+
+void StateFeed::takeWhole(StateKind kind, std::uint64_t revision, std::span<const StateObject> objects)
+{
+    this->applied(kind, proxy::takeWhole(this->caches.at(static_cast<std::size_t>(kind)), revision, objects));
+}
+
+void StateFeed::takeChanges(StateKind kind, std::uint64_t revision, std::span<const StateChange> changes)
+{
+    this->applied(kind, proxy::takeChanges(this->caches.at(static_cast<std::size_t>(kind)), revision, changes));
+}
+
+void StateFeed::applied(StateKind kind, const std::vector<StateChange>& changes)
+{
+    if (changes.empty())
+        return;
+    this->ports.apply(kind, changes);
+    this->answerHeld(false);
+}
+
+void StateFeed::storeAnswered()
+{
+    this->lastContact = Clock::now();
+}
+
+void StateFeed::takeQuestion(const std::shared_ptr<CallerConnection>& connection)
+{
+    const std::string& target = connection->request().target;
+    if (target.rfind(statePath, 0) != 0) {
+        HttpMessage unknown;
+        unknown.status = 404;
+        connection->respond(unknown);
+        return;
+    }
+    Held question;
+    question.connection = connection;
+    bool news = false;
+    for (std::size_t index = 0; index < kindNames.size(); ++index) {
+        question.seen.at(index) = parameter(target, kindNames.at(index));
+        news = news || hasNews(this->caches.at(index), question.seen.at(index));
+    }
+    if (news || this->stopped) {
+        this->answer(question);
+        return;
+    }
+    question.due = Clock::now() + this->limits.hold;
+    this->held.push_back(std::move(question));
+    this->planHeld();
+}
+
+void StateFeed::answer(Held& question)
+{
+    wire::StateAnswer answer;
+    answer.set_contact_age(static_cast<std::uint32_t>(std::min<std::int64_t>(std::chrono::duration_cast<milliseconds>(this->contactAge()).count(), 3'600'000)));
+    for (std::size_t index = 0; index < kindNames.size(); ++index) {
+        if (hasNews(this->caches.at(index), question.seen.at(index)))
+            writeDelta(this->caches.at(index), allStateKinds.at(index), question.seen.at(index), answer);
+    }
+    HttpMessage message;
+    message.status = 200;
+    message.body = answer.SerializeAsString();
+    question.connection->respond(message);
+}
+
+void StateFeed::answerHeld(bool dueOnly)
+{
+    const TimePoint now = Clock::now();
+    for (auto question = this->held.begin(); question != this->held.end();) {
+        bool ready = question->due <= now;
+        for (std::size_t index = 0; !ready && !dueOnly && index < kindNames.size(); ++index)
+            ready = hasNews(this->caches.at(index), question->seen.at(index));
+        if (!ready) {
+            ++question;
+            continue;
+        }
+        this->answer(*question);
+        question = this->held.erase(question);
+    }
+}
+
+void StateFeed::planHeld()
+{
+    if (this->held.empty() || this->heldTimer.expiry() > Clock::now())
+        return;
+    this->heldTimer.expires_at(this->held.front().due);
+    this->heldTimer.async_wait([this](const asio::error_code& error) {
+        if (error)
+            return;
+        this->answerHeld(true);
+        this->planHeld();
+    });
+}
+
+void StateFeed::review()
+{
+    if (this->stopped)
+        return;
+    const std::vector<std::string> relays = relaysOf(this->fleet, this->failureDomain, this->limits);
+    const TimePoint now = Clock::now();
+    this->isRelay = std::find(relays.begin(), relays.end(), this->fleet.self) != relays.end();
+    if (this->contactAge() > this->limits.contactLimit)
+        this->directUntil = now + this->limits.leastDirect;
+    const bool watch = this->isRelay || now < this->directUntil;
+    // Each follower has an order of its own, so that the relays share them.
+    std::vector<std::string> asked;
+    if (!this->isRelay) {
+        for (const std::size_t index : rendezvousOrder(this->fleet.self, relays))
+            asked.push_back(relays[index]);
+        if (asked.size() > this->limits.relaysAsked)
+            asked.resize(this->limits.relaysAsked);
+    }
+    std::erase_if(this->followed, [&asked](const std::shared_ptr<Followed>& relay) {
+        relay->dropped = std::find(asked.begin(), asked.end(), relay->name) == asked.end();
+        if (relay->dropped) {
+            relay->pause.cancel();
+            relay->client.abandonAll("dropped");
+        }
+        return relay->dropped;
+    });
+    for (const std::string& name : asked) {
+        if (std::any_of(this->followed.begin(), this->followed.end(), [&name](const auto& relay) { return relay->name == name; }))
+            continue;
+        auto relay = std::make_shared<Followed>(this->io, name, this->fleet.members.at(name).address);
+        this->followed.push_back(relay);
+        this->follow(relay);
+    }
+    if (watch != this->direct) {
+        this->direct = watch;
+        this->log.write(Weight::Process, "feed", watch ? "watching-store" : "following-relays",
+            EventFields().flag("relay", this->isRelay).number("relays", static_cast<std::int64_t>(relays.size())).milliseconds("contactAgeMs", this->contactAge()));
+        this->ports.watchStore(watch);
+    }
+    this->planReview();
+}
+
+void StateFeed::planReview()
+{
+    // A relay's role changes with the membership only.
+    if (this->isRelay)
+        return;
+    const TimePoint due = std::max(this->direct ? this->directUntil : this->lastContact + this->limits.contactLimit, Clock::now()) + milliseconds(1);
+    if (this->reviewTimer.expiry() == due)
+        return;
+    this->reviewTimer.expires_at(due);
+    this->reviewTimer.async_wait([this](const asio::error_code& error) {
+        if (!error)
+            this->review();
+    });
+}
+
+void StateFeed::follow(const std::shared_ptr<Followed>& relay)
+{
+    std::string path = std::string(statePath).append("?");
+    for (std::size_t index = 0; index < kindNames.size(); ++index)
+        path.append(kindNames.at(index)).append("=").append(std::to_string(this->caches.at(index).seen)).append("&");
+    HttpCall call;
+    call.path = std::move(path);
+    call.timeout = this->limits.hold + this->limits.answerSlack;
+    relay->client.call(std::move(call), [this, relay](const HttpReply& reply) { this->takeAnswer(relay, reply); });
+}
+
+void StateFeed::takeAnswer(const std::shared_ptr<Followed>& relay, const HttpReply& reply)
+{
+    if (relay->dropped || this->stopped)
+        return;
+    wire::StateAnswer answer;
+    Duration pause = Duration::zero();
+    if (reply.status == 200 && answer.ParseFromString(reply.body)) {
+        this->lastContact = std::max(this->lastContact, Clock::now() - milliseconds(answer.contact_age()));
+        for (const wire::KindState& state : answer.kinds()) {
+            if (state.kind() >= kindNames.size())
+                continue;
+            const StateKind kind = allStateKinds.at(state.kind());
+            std::vector<StateChange> changes;
+            std::vector<StateObject> objects;
+            for (const wire::StateObject& object : state.objects()) {
+                if (state.whole())
+                    objects.push_back({ object.name(), object.revision(), object.payload() });
+                else
+                    changes.push_back({ { object.name(), object.revision(), object.payload() }, object.removed() });
+            }
+            if (state.whole())
+                this->takeWhole(kind, state.revision(), objects);
+            else
+                this->takeChanges(kind, state.revision(), changes);
+            pause = this->limits.newsPause;
+        }
+    } else {
+        pause = this->limits.failurePause;
+        this->ports.silent(relay->name);
+        this->review();
+        if (relay->dropped)
+            return;
+    }
+    if (pause == Duration::zero()) {
+        this->follow(relay);
+        return;
+    }
+    relay->pause.expires_after(pause);
+    relay->pause.async_wait([this, relay](const asio::error_code& error) {
+        if (!error && !relay->dropped)
+            this->follow(relay);
+    });
+}
+
+void StateFeed::stop()
+{
+    this->stopped = true;
+    this->reviewTimer.cancel();
+    for (const auto& relay : this->followed) {
+        relay->dropped = true;
+        relay->pause.cancel();
+        relay->client.abandonAll("stopped");
+    }
+    this->followed.clear();
+    for (Held& question : this->held)
+        this->answer(question);
+    this->held.clear();
+    this->server->closeIdle();
+}
+
+}
--- a/packages/proxy/src/TargetDirectory.cpp
+++ b/packages/proxy/src/TargetDirectory.cpp
@@ -6,14 +6,6 @@
 
 namespace {
 
-    void merge(DirectoryChange& into, DirectoryChange from)
-    {
-        into.services.merge(from.services);
-        into.gone.insert(into.gone.end(), from.gone.begin(), from.gone.end());
-        into.leaving.insert(into.leaving.end(), from.leaving.begin(), from.leaving.end());
-        into.kept.insert(into.kept.end(), from.kept.begin(), from.kept.end());
-    }
-
     bool isMassLoss(const TargetDirectory& directory, std::string_view service, TimePoint now)
     {
         const auto recent = std::count_if(directory.removals.lower_bound(now - directory.limits.massLossSpan), directory.removals.end(), [service](const auto& removal) { return removal.second == service; });
@@ -33,69 +25,59 @@
         return std::nullopt;
     }
 
-}
-
-DirectoryChange putEntry(TargetDirectory& directory, const TargetEntry& entry, TimePoint /*now*/)
-{
-    DirectoryChange change;
-    const auto found = directory.entries.find(entry.target.instance);
-    DirectoryEntry next { entry, std::nullopt };
-    if (found != directory.entries.end()) {
-        const TargetEntry& known = found->second.entry;
-        const bool sameLife = known.startedAt == entry.startedAt && known.target.address == entry.target.address;
-        if (sameLife && known.target.leaving)
-            next.entry.target.leaving = true;
-        if (!sameLife)
-            change.gone.push_back(entry.target.instance);
-        change.services.insert(known.service);
+    void putEntry(TargetDirectory& directory, const TargetEntry& entry, DirectoryChange& change)
+    {
+        const auto found = directory.entries.find(entry.target.instance);
+        DirectoryEntry next { entry, std::nullopt };
+        if (found != directory.entries.end()) {
+            const TargetEntry& known = found->second.entry;
+            const bool sameLife = known.startedAt == entry.startedAt && known.target.address == entry.target.address;
+            if (sameLife && known.target.leaving)
+                next.entry.target.leaving = true;
+            if (!sameLife)
+                change.gone.push_back(entry.target.instance);
+            change.services.insert(known.service);
+        }
+        if (next.entry.target.leaving && (found == directory.entries.end() || !found->second.entry.target.leaving))
+            change.leaving.push_back(entry.target.instance);
+        change.services.insert(entry.service);
+        directory.entries.insert_or_assign(entry.target.instance, std::move(next));
     }
-    if (next.entry.target.leaving && (found == directory.entries.end() || !found->second.entry.target.leaving))
-        change.leaving.push_back(entry.target.instance);
-    change.services.insert(entry.service);
-    directory.entries.insert_or_assign(entry.target.instance, std::move(next));
-    return change;
-}
 
-DirectoryChange removeEntry(TargetDirectory& directory, std::string_view instance, TimePoint now)
-{
-    DirectoryChange change;
-    const auto found = directory.entries.find(instance);
-    if (found == directory.entries.end())
-        return change;
-    const std::string service = found->second.entry.service;
-    directory.removals.erase(directory.removals.begin(), directory.removals.lower_bound(now - directory.limits.massLossSpan));
-    if (!found->second.keptUntil)
-        directory.removals.emplace(now, service);
-    const std::optional<TimePoint> grace = found->second.entry.target.leaving ? std::nullopt : graceOf(directory, service, now);
-    if (grace) {
-        if (!found->second.keptUntil || *found->second.keptUntil == TimePoint::max())
-            found->second.keptUntil = grace;
-        change.kept.emplace_back(instance);
-        return change;
+    void removeEntry(TargetDirectory& directory, std::string_view instance, TimePoint now, DirectoryChange& change)
+    {
+        const auto found = directory.entries.find(instance);
+        if (found == directory.entries.end())
+            return;
+        const std::string service = found->second.entry.service;
+        const std::optional<TimePoint> grace = found->second.entry.target.leaving ? std::nullopt : graceOf(directory, service, now);
+        if (grace) {
+            if (!found->second.keptUntil || *found->second.keptUntil == TimePoint::max())
+                found->second.keptUntil = grace;
+            change.kept.emplace_back(instance);
+            return;
+        }
+        change.services.insert(service);
+        change.gone.emplace_back(instance);
+        directory.entries.erase(found);
     }
-    change.services.insert(service);
-    change.gone.emplace_back(instance);
-    directory.entries.erase(found);
-    return change;
+
 }
 
-DirectoryChange replaceEntries(TargetDirectory& directory, const std::map<std::string, TargetEntry>& entries, TimePoint now)
+DirectoryChange changeEntries(TargetDirectory& directory, std::span<const TargetEntry> written, std::span<const std::string> removed, TimePoint now)
 {
     DirectoryChange change;
-    std::vector<std::string> vanished;
-    for (const auto& [instance, known] : directory.entries) {
-        if (entries.find(instance) == entries.end())
-            vanished.push_back(instance);
-    }
+    directory.removals.erase(directory.removals.begin(), directory.removals.lower_bound(now - directory.limits.massLossSpan));
     // All are counted first, so that the first of many is judged like the last.
-    for (const std::string& instance : vanished) {
-        if (!directory.entries.at(instance).keptUntil)
-            directory.removals.emplace(now, directory.entries.at(instance).entry.service);
+    for (const std::string& instance : removed) {
+        const auto known = directory.entries.find(instance);
+        if (known != directory.entries.end() && !known->second.keptUntil && !known->second.entry.target.leaving)
+            directory.removals.emplace(now, known->second.entry.service);
     }
-    for (const std::string& instance : vanished)
-        merge(change, removeEntry(directory, instance, now));
-    for (const auto& [instance, entry] : entries)
-        merge(change, putEntry(directory, entry, now));
+    for (const std::string& instance : removed)
+        removeEntry(directory, instance, now, change);
+    for (const TargetEntry& entry : written)
+        putEntry(directory, entry, change);
     return change;
 }
 
