--- a/packages/grants/include/flamingowick/grants/Belief.h
+++ b/packages/grants/include/flamingowick/grants/Belief.h
@@ -35,7 +35,7 @@
     // Share of targets that fail at any time, before any evidence.
     double failingShare { 0.15 };
     // Mean time until a target's state is independent of what was seen.
-    Duration relaxation { std::chrono::seconds(6) };
+    Duration relaxation { std::chrono::seconds(8) };
     // Share of its requests that a failing target doesn't answer in time.
     double failureShare { 0.7 };
 };
--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -28,7 +28,7 @@
     Duration leastDirect { std::chrono::seconds(3) };
     // Relays that a follower asks, and daemons that share a relay pair.
     std::size_t relaysAsked { 2 };
-    std::size_t daemonsForEachRelay { 16 };
+    std::size_t daemonsForEachRelay { 24 };
     // Pause after an answer with news, so that changes in quick succession travel together.
     Duration newsPause { std::chrono::milliseconds(20) };
     // Pause after a failed question.
