Test the data path: messages, routes, directory, fleet, state, whole requests over sockets

Faults found: header names with spaces and control bytes in values passed (the parser is lenient); a daemon that ended while work was posted touched freed memory. Both have a test.

--- a/packages/proxy/include/flamingowick/proxy/CallerServer.h
+++ b/packages/proxy/include/flamingowick/proxy/CallerServer.h
@@ -84,6 +84,9 @@
 public:
     // Listens at once. Throws GatewayError 400 when the address can't be opened.
     CallerServer(asio::io_context&, std::string_view address, unsigned maxConnections, CallerServerHandlers);
+    ~CallerServer();
+    CallerServer(const CallerServer&) = delete;
+    CallerServer& operator=(const CallerServer&) = delete;
 
     // Answers from now on say that their connection closes.
     void beginStop() noexcept { this->stopping = true; }
--- a/packages/proxy/include/flamingowick/proxy/PeerLink.h
+++ b/packages/proxy/include/flamingowick/proxy/PeerLink.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace flamingowick::proxy::wire {
@@ -107,6 +108,8 @@
     std::string buffer;
     std::uint64_t sent { 0 };
     std::uint64_t unreadable { 0 };
+    // Posted work looks whether the link still is there.
+    std::shared_ptr<char> alive { std::make_shared<char>() };
 };
 
 }
--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -66,6 +66,7 @@
     void takeAsk(const PeerSource&, AskMessage);
     void takePresence(const PeerSource&, const PresenceMessage&);
     void decideHosted(const grants::Decision&);
+    void postWord(const std::string& granter, const WordMessage&);
     void decideOwn(const grants::Decision&);
     void announce(bool leaving, bool wantsReply);
     void checkStopped();
@@ -104,6 +105,8 @@
     bool stopping { false };
     TimePoint stopBegan;
     std::function<void()> onStopped;
+    // Posted work looks whether the proxy still is there.
+    std::shared_ptr<char> alive { std::make_shared<char>() };
 };
 
 }
--- a/packages/proxy/src/CallerServer.cpp
+++ b/packages/proxy/src/CallerServer.cpp
@@ -246,6 +246,13 @@
     this->accept();
 }
 
+CallerServer::~CallerServer()
+{
+    const std::vector<std::shared_ptr<CallerConnection>> present(this->connections.begin(), this->connections.end());
+    for (const auto& connection : present)
+        connection->close();
+}
+
 void CallerServer::accept()
 {
     this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
--- a/packages/proxy/src/HttpMessage.cpp
+++ b/packages/proxy/src/HttpMessage.cpp
@@ -22,6 +22,17 @@
         return text;
     }
 
+    bool isToken(std::string_view name) noexcept
+    {
+        static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+        return !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char c) { return std::isalnum(c) != 0 || marks.find(static_cast<char>(c)) != std::string_view::npos; });
+    }
+
+    bool hasControl(std::string_view value) noexcept
+    {
+        return std::any_of(value.begin(), value.end(), [](unsigned char c) { return (c < 0x20U && c != '\t') || c == 0x7fU; });
+    }
+
     bool listsToken(std::string_view list, std::string_view token) noexcept
     {
         while (!list.empty()) {
@@ -166,6 +177,11 @@
     reader.headersDone = true;
     // Another protocol on the connection is not offered.
     parser->upgrade = 0;
+    // The parser lets through what other readers of the message may understand otherwise.
+    for (const Header& header : message.headers) {
+        if (!isToken(header.name) || hasControl(header.value))
+            return -1;
+    }
     if (reader.kind == Kind::Requests) {
         message.method = http_method_str(static_cast<http_method>(parser->method));
         if (parser->method == HTTP_CONNECT)
--- a/packages/proxy/src/PeerLink.cpp
+++ b/packages/proxy/src/PeerLink.cpp
@@ -90,7 +90,10 @@
 {
     if (!this->flushPlanned) {
         this->flushPlanned = true;
-        asio::post(this->context, [this] { this->flush(); });
+        asio::post(this->context, [this, alive = std::weak_ptr<char>(this->alive)] {
+            if (!alive.expired())
+                this->flush();
+        });
     }
     return this->gathered[address];
 }
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -279,6 +279,15 @@
     this->planFlush();
 }
 
+// Posted, since the decision may come while the request still asks.
+void Proxy::postWord(const std::string& granter, const WordMessage& word)
+{
+    asio::post(this->io, [this, alive = std::weak_ptr<char>(this->alive), granter, word] {
+        if (!alive.expired())
+            this->entry->takeWord(granter, word);
+    });
+}
+
 void Proxy::decideHosted(const grants::Decision& decision)
 {
     const bool granted = decision.verdict == grants::Verdict::Granted;
@@ -287,7 +296,7 @@
     this->metrics.count(granted ? "flamingowick_grants_total" : "flamingowick_refusals_total");
     const WordMessage word { granted ? WordKind::Granted : WordKind::Refused, decision };
     if (decision.key.entry == this->sender) {
-        asio::post(this->io, [this, word] { this->entry->takeWord(this->fleet.self, word); });
+        this->postWord(this->fleet.self, word);
         return;
     }
     if (const auto address = this->entries.find(decision.key.entry); address != this->entries.end())
@@ -297,7 +306,7 @@
 void Proxy::decideOwn(const grants::Decision& decision)
 {
     const WordMessage word { decision.verdict == grants::Verdict::Granted ? WordKind::Granted : WordKind::Refused, decision };
-    asio::post(this->io, [this, word] { this->entry->takeWord(std::string(decidedAlone), word); });
+    this->postWord(std::string(decidedAlone), word);
 }
 
 void Proxy::planProbes()
--- /dev/null
+++ b/packages/proxy/tests/ProxyWorld.h
@@ -0,0 +1,246 @@
+#pragma once
+
+#include "flamingowick/proxy/Proxy.h"
+
+#include <CppUTest/TestHarness.h>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <fcntl.h>
+
+#include <memory>
+
+// A few daemons, targets and callers on one thread and loopback sockets.
+namespace flamingowick::proxy {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline std::string freeAddress()
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor probe(io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+inline HeaderNames testHeaders()
+{
+    return { "X-Id", "X-Left-Ms", "X-Signature", "X-Expected", "X-Not-Run" };
+}
+
+// A target that answers each request with bytes that the test makes; none: it never answers.
+class ScriptedTarget {
+public:
+    using Script = std::function<std::optional<std::string>(const HttpMessage& request)>;
+
+    ScriptedTarget(asio::io_context& io, Script answerScript)
+        : acceptor(io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , script(std::move(answerScript))
+    {
+        this->accept();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()); }
+
+    // Answers as a sound target does.
+    static std::string sound(const HttpMessage& request, std::string_view body = "fine", std::string_view more = "")
+    {
+        return "HTTP/1.1 200 OK\r\nX-Id: " + std::string(headerValue(request, "X-Id")) + "\r\nX-Signature: s\r\nKeep-Alive: timeout=10\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + std::string(more) + "\r\n" + std::string(body);
+    }
+
+    std::vector<HttpMessage> requests;
+    unsigned connections { 0 };
+    unsigned closedByPeer { 0 };
+    // Closes the connection after each answer.
+    bool closeAfter { false };
+    // Resets it in place of an answer.
+    bool reset { false };
+
+private:
+    struct Connection : std::enable_shared_from_this<Connection> {
+        Connection(ScriptedTarget& target, asio::ip::tcp::socket accepted)
+            : owner(target)
+            , socket(std::move(accepted))
+            , buffer(65536, '\0')
+        {
+        }
+
+        void read()
+        {
+            this->socket.async_read_some(asio::buffer(this->buffer), [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
+                if (error == asio::error::operation_aborted)
+                    return;
+                if (error) {
+                    ++self->owner.closedByPeer;
+                    return;
+                }
+                self->reader.take(std::string_view(self->buffer).substr(0, size));
+                if (self->reader.state() == ReadState::Complete)
+                    self->answer();
+                self->read();
+            });
+        }
+
+        void answer()
+        {
+            this->owner.requests.push_back(this->reader.message());
+            if (this->owner.reset) {
+                this->socket.set_option(asio::socket_base::linger(true, 0));
+                this->socket.close();
+                return;
+            }
+            const std::optional<std::string> bytes = this->owner.script(this->reader.message());
+            this->reader.restart({});
+            if (!bytes)
+                return;
+            asio::write(this->socket, asio::buffer(*bytes));
+            if (this->owner.closeAfter)
+                this->socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+        }
+
+        ScriptedTarget& owner;
+        asio::ip::tcp::socket socket;
+        MessageReader reader { MessageReader::Kind::Requests, {} };
+        std::string buffer;
+    };
+
+    void accept()
+    {
+        this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+            if (error)
+                return;
+            ++this->connections;
+            std::make_shared<Connection>(*this, std::move(socket))->read();
+            this->accept();
+        });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    Script script;
+};
+
+// A caller's connection that sends raw bytes and gathers what comes back.
+class RawCaller {
+public:
+    RawCaller(asio::io_context& io, const std::string& address)
+        : socket(io)
+        , buffer(65536, '\0')
+    {
+        this->socket.connect(tcpEndpoint(address));
+        this->read();
+    }
+
+    void send(std::string_view bytes) { asio::write(this->socket, asio::buffer(bytes.data(), bytes.size())); }
+    void close() { this->socket.close(); }
+
+    std::vector<HttpMessage> answers;
+    bool ended { false };
+
+private:
+    void read()
+    {
+        this->socket.async_read_some(asio::buffer(this->buffer), [this, present = std::weak_ptr<char>(this->alive)](const asio::error_code& error, std::size_t size) {
+            if (present.expired())
+                return;
+            if (error) {
+                this->ended = true;
+                return;
+            }
+            std::string_view bytes = std::string_view(this->buffer).substr(0, size);
+            while (!bytes.empty()) {
+                bytes.remove_prefix(this->reader.take(bytes));
+                if (this->reader.state() != ReadState::Complete)
+                    break;
+                this->answers.push_back(this->reader.message());
+                this->reader.restart({});
+            }
+            this->read();
+        });
+    }
+
+    asio::ip::tcp::socket socket;
+    MessageReader reader { MessageReader::Kind::Answers, {} };
+    std::string buffer;
+    std::shared_ptr<char> alive { std::make_shared<char>() };
+};
+
+struct ProxyWorld {
+    asio::io_context io { 1 };
+    int devNull { ::open("/dev/null", O_WRONLY | O_CLOEXEC) };
+    telemetry::EventLog log { devNull, 1000 };
+    std::vector<std::unique_ptr<Proxy>> proxies;
+    std::vector<ProxySettings> settings;
+    std::vector<std::unique_ptr<ScriptedTarget>> targets;
+    std::vector<TargetEntry> entries;
+    Configuration configuration;
+
+    ~ProxyWorld()
+    {
+        this->proxies.clear();
+        ::close(this->devNull);
+    }
+
+    ScriptedTarget& addTarget(ScriptedTarget::Script script)
+    {
+        this->targets.push_back(std::make_unique<ScriptedTarget>(this->io, std::move(script)));
+        TargetEntry entry;
+        entry.service = "stock";
+        entry.target.instance = "i-" + std::to_string(this->targets.size());
+        entry.target.address = this->targets.back()->address();
+        entry.target.failureDomain = "a";
+        entry.target.slots = 2;
+        this->entries.push_back(entry);
+        return *this->targets.back();
+    }
+
+    void start(unsigned count, bool idempotent, Duration timeout = seconds(2))
+    {
+        Route route;
+        route.host = "x";
+        route.pathPrefix = "/stock/";
+        route.name = "stock";
+        route.idempotent = idempotent;
+        route.timeout = timeout;
+        route.maxAttempts = 2;
+        route.parts = { { "stock", 1 } };
+        this->configuration.version = 1;
+        this->configuration.routes = { route };
+        std::vector<FleetMember> members;
+        for (unsigned index = 0; index < count; ++index) {
+            ProxySettings made;
+            made.vm = "vm-" + std::to_string(index);
+            made.failureDomain = "a";
+            made.callerAddress = freeAddress();
+            made.readyAddress = freeAddress();
+            made.peerAddress = freeAddress();
+            made.headers = testHeaders();
+            made.retryRatio = 0.2;
+            made.retryBurst = 50;
+            this->settings.push_back(made);
+            members.push_back({ made.vm, made.peerAddress, "a" });
+            this->proxies.push_back(std::make_unique<Proxy>(this->io, made, index + 1, this->log));
+        }
+        for (const auto& proxy : this->proxies) {
+            proxy->setConfiguration(this->configuration);
+            proxy->changeTargets(this->entries, {});
+            proxy->setMembers(members);
+        }
+    }
+
+    std::unique_ptr<RawCaller> caller(std::size_t proxy = 0) { return std::make_unique<RawCaller>(this->io, this->settings.at(proxy).callerAddress); }
+
+    // Runs until the condition holds; the limit only ends a test that fails.
+    bool until(const std::function<bool()>& condition, Duration limit = seconds(10))
+    {
+        const TimePoint end = Clock::now() + limit;
+        while (!condition() && Clock::now() < end)
+            this->io.run_one_for(milliseconds(20));
+        return condition();
+    }
+};
+
+inline std::string request(std::string_view id, std::string_view method = "GET", std::string_view body = "", std::string_view left = "5000")
+{
+    return std::string(method) + " /stock/7 HTTP/1.1\r\nHost: x\r\nX-Id: " + std::string(id) + "\r\nX-Left-Ms: " + std::string(left) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+}
+
+}
--- /dev/null
+++ b/packages/proxy/tests/unit-entry.cpp
@@ -0,0 +1,303 @@
+#include "ProxyWorld.h"
+
+using namespace flamingowick;
+using namespace flamingowick::proxy;
+
+namespace {
+
+std::optional<std::string> hang(const HttpMessage&) { return std::nullopt; }
+
+}
+
+TEST_GROUP(Entry)
+{
+    ProxyWorld world;
+
+    const HttpMessage& ask(RawCaller & caller, std::string_view bytes)
+    {
+        const std::size_t before = caller.answers.size();
+        caller.send(bytes);
+        CHECK(world.until([&] { return caller.answers.size() > before || caller.ended; }));
+        CHECK(caller.answers.size() > before);
+        return caller.answers.back();
+    }
+};
+
+TEST(Entry, PassesARequestOnUnchangedAndItsAnswerBack)
+{
+    ScriptedTarget& target = world.addTarget([](const HttpMessage& got) { return ScriptedTarget::sound(got, "seven doors"); });
+    world.start(3, false);
+    for (std::size_t proxy = 0; proxy < 3; ++proxy) {
+        auto caller = world.caller(proxy);
+        const HttpMessage& answer = ask(*caller, request("r" + std::to_string(proxy), "POST", "body"));
+        CHECK_EQUAL(200, answer.status);
+        CHECK_EQUAL(std::string("seven doors"), answer.body);
+        CHECK_EQUAL(std::string("s"), std::string(headerValue(answer, "X-Signature")));
+    }
+    CHECK_EQUAL(3, target.requests.size());
+    const HttpMessage& got = target.requests.front();
+    CHECK_EQUAL(std::string("POST"), got.method);
+    CHECK_EQUAL(std::string("/stock/7"), got.target);
+    CHECK_EQUAL(std::string("body"), got.body);
+    CHECK_EQUAL(std::string("i-1"), std::string(headerValue(got, "X-Expected")));
+    CHECK(std::stoi(std::string(headerValue(got, "X-Left-Ms"))) <= 2000);
+}
+
+TEST(Entry, ServesManyRequestsOnOneConnectionAlsoWhenTheyComeTogether)
+{
+    ScriptedTarget& target = world.addTarget([](const HttpMessage& got) { return ScriptedTarget::sound(got); });
+    world.start(1, true);
+    auto caller = world.caller();
+    caller->send(request("a") + request("b") + request("c"));
+    CHECK(world.until([&] { return caller->answers.size() == 3; }));
+    CHECK_EQUAL(std::string("c"), std::string(headerValue(caller->answers.back(), "X-Id")));
+    CHECK_EQUAL(1, target.connections);
+}
+
+TEST(Entry, Answers503UntilAConfigurationIsKnownAnd404OnlyAfterIt)
+{
+    world.addTarget([](const HttpMessage& got) { return ScriptedTarget::sound(got); });
+    world.start(1, true);
+    ProxySettings lone = world.settings.front();
+    lone.vm = "lone";
+    lone.callerAddress = freeAddress();
+    lone.readyAddress = freeAddress();
+    lone.peerAddress = freeAddress();
+    Proxy proxy(world.io, lone, 99, world.log);
+    CHECK_FALSE(proxy.ready());
+    RawCaller early(world.io, lone.callerAddress);
+    const HttpMessage& refused = ask(early, request("a"));
+    CHECK_EQUAL(503, refused.status);
+    CHECK_FALSE(headerValue(refused, "Retry-After").empty());
+    auto caller = world.caller();
+    CHECK_EQUAL(404, ask(*caller, "GET /other/ HTTP/1.1\r\nHost: x\r\nX-Id: b\r\n\r\n").status);
+}
+
+TEST(Entry, DoesNotRepeatWhatMayHaveRun)
+{
+    ScriptedTarget& first = world.addTarget(hang);
+    first.reset = true;
+    ScriptedTarget& second = world.addTarget(hang);
+    second.reset = true;
+    world.start(1, false);
+    auto caller = world.caller();
+    CHECK_EQUAL(502, ask(*caller, request("a", "POST", "x")).status);
+    CHECK_EQUAL(1, first.requests.size() + second.requests.size());
+}
+
+TEST(Entry, SendsARepeatableRequestOnceMoreAfterAFailure)
+{
+    ScriptedTarget& bad = world.addTarget(hang);
+    bad.reset = true;
+    world.addTarget([](const HttpMessage& got) { return ScriptedTarget::sound(got); });
+    world.start(1, true);
+    for (int count = 0; count < 4; ++count) {
+        auto caller = world.caller();
+        CHECK_EQUAL(200, ask(*caller, request("r" + std::to_string(count))).status);
+    }
+}
+
+TEST(Entry, SendsARepeatableRequestOnceMoreWhileTheFirstTargetHangs)
+{
+    ScriptedTarget& stuck = world.addTarget(hang);
+    world.addTarget([](const HttpMessage& got) { return ScriptedTarget::sound(got); });
+    world.start(1, true);
+    for (int count = 0; count < 4; ++count) {
+        auto caller = world.caller();
+        CHECK_EQUAL(200, ask(*caller, request("r" + std::to_string(count))).status);
+    }
+    // The losing attempt is given up, so that the target can stop work.
+    CHECK(world.until([&] { return stuck.closedByPeer == stuck.connections; }));
+}
+
+TEST(Entry, TriesAnotherTargetWhenOneStatesThatItDidNotRun)
+{
+    world.addTarget([](const HttpMessage&) { return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"; });
+    world.addTarget([](const HttpMessage& got) { return ScriptedTarget::sound(got); });
+    world.start(1, false);
+    for (int count = 0; count < 4; ++count) {
+        auto caller = world.caller();
+        CHECK_EQUAL(200, ask(*caller, request("r" + std::to_string(count), "POST", "x")).status);
+    }
+}
+
+TEST(Entry, PromisesNotRunOnlyWhenTheTargetDoes)
+{
+    world.addTarget([](const HttpMessage& got) { return "HTTP/1.1 503 Service Unavailable\r\nX-Signature: s\r\nX-Id: " + std::string(headerValue(got, "X-Id")) + "\r\nContent-Length: 0\r\n\r\n"; });
+    world.start(1, false);
+    auto caller = world.caller();
+    const HttpMessage& answer = ask(*caller, request("a", "POST", "x"));
+    CHECK_EQUAL(502, answer.status);
+    CHECK(headerValue(answer, "X-Signature").empty());
+}
+
+TEST(Entry, GivesAFailureOfTheTargetBackAsItIs)
+{
+    world.addTarget([](const HttpMessage& got) { return "HTTP/1.1 500 Oops\r\nX-Signature: s\r\nX-Id: " + std::string(headerValue(got, "X-Id")) + "\r\nContent-Length: 3\r\n\r\nbad"; });
+    world.start(1, false);
+    auto caller = world.caller();
+    const HttpMessage& answer = ask(*caller, request("a", "POST", "x"));
+    CHECK_EQUAL(500, answer.status);
+    CHECK_EQUAL(std::string("s"), std::string(headerValue(answer, "X-Signature")));
+    CHECK_EQUAL(std::string("bad"), answer.body);
+}
+
+TEST(Entry, TakesNoSuccessWithoutProofOrWithAnEncoding)
+{
+    for (const std::string_view extra : { "", "X-Signature: s\r\nContent-Encoding: gzip\r\n" }) {
+        ProxyWorld own;
+        own.addTarget([extra](const HttpMessage& got) { return "HTTP/1.1 200 OK\r\nX-Id: " + std::string(headerValue(got, "X-Id")) + "\r\n" + std::string(extra) + "Content-Length: 1\r\n\r\nx"; });
+        own.start(1, false);
+        auto caller = own.caller();
+        caller->send(request("a", "POST", "x"));
+        CHECK(own.until([&] { return !caller->answers.empty(); }));
+        CHECK_EQUAL(502, caller->answers.back().status);
+    }
+}
+
+TEST(Entry, DropsALateAnswerToAnotherRequest)
+{
+    world.addTarget([](const HttpMessage& got) {
+        return "HTTP/1.1 200 OK\r\nX-Id: someone-else\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\nwrong" + ScriptedTarget::sound(got, "right");
+    });
+    world.start(1, false);
+    auto caller = world.caller();
+    CHECK_EQUAL(std::string("right"), ask(*caller, request("a", "POST", "x")).body);
+}
+
+TEST(Entry, ReusesNoConnectionOnWhichMoreCameThanTheAnswer)
+{
+    ScriptedTarget& target = world.addTarget([](const HttpMessage& got) { return ScriptedTarget::sound(got, "one") + ScriptedTarget::sound(got, "two"); });
+    world.start(1, false);
+    for (int count = 0; count < 3; ++count) {
+        auto caller = world.caller();
+        CHECK_EQUAL(std::string("one"), ask(*caller, request("r" + std::to_string(count), "POST", "x")).body);
+    }
+    CHECK_EQUAL(3, target.connections);
+}
+
+TEST(Entry, TakesAnAnswerThatEndsWithItsConnection)
+{
+    ScriptedTarget& target = world.addTarget([](const HttpMessage& got) { return "HTTP/1.1 200 OK\r\nX-Id: " + std::string(headerValue(got, "X-Id")) + "\r\nX-Signature: s\r\n\r\nall of it"; });
+    target.closeAfter = true;
+    world.start(1, false);
+    auto caller = world.caller();
+    CHECK_EQUAL(std::string("all of it"), ask(*caller, request("a", "POST", "x")).body);
+}
+
+TEST(Entry, GivesUpAtTheDeadlineWithAnAnswerThatPromisesNothing)
+{
+    ScriptedTarget& target = world.addTarget(hang);
+    world.start(1, false);
+    auto caller = world.caller();
+    CHECK_EQUAL(504, ask(*caller, request("a", "POST", "x", "150")).status);
+    CHECK(world.until([&] { return target.closedByPeer == 1; }));
+}
+
+TEST(Entry, StopsTheTargetsWorkWhenTheCallerLeaves)
+{
+    ScriptedTarget& target = world.addTarget(hang);
+    world.start(1, true);
+    auto caller = world.caller();
+    caller->send(request("a"));
+    CHECK(world.until([&] { return target.requests.size() == 1; }));
+    caller->close();
+    CHECK(world.until([&] { return target.closedByPeer == 1; }));
+}
+
+TEST(Entry, GoesOnWithoutTheDispatcherThatIsGone)
+{
+    ScriptedTarget& target = world.addTarget([](const HttpMessage& got) { return ScriptedTarget::sound(got); });
+    world.start(4, false);
+    const std::string dispatcher = dispatchersOf(world.proxies.front()->knownFleet(), "stock/0/1").front();
+    for (std::size_t index = 0; index < world.proxies.size(); ++index) {
+        if (world.settings[index].vm == dispatcher)
+            world.proxies[index].reset();
+    }
+    for (std::size_t index = 0; index < world.proxies.size(); ++index) {
+        if (!world.proxies[index])
+            continue;
+        auto caller = world.caller(index);
+        CHECK_EQUAL(200, ask(*caller, request("r" + std::to_string(index), "POST", "x")).status);
+    }
+    CHECK_EQUAL(3, target.requests.size());
+}
+
+TEST(Entry, NeverOverrunsASlotThatAllEntriesShare)
+{
+    ScriptedTarget& target = world.addTarget(hang);
+    world.start(4, false, milliseconds(700));
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (std::size_t index = 0; index < 8; ++index) {
+        callers.push_back(world.caller(index % 4));
+        callers.back()->send(request("r" + std::to_string(index), "POST", "x"));
+    }
+    CHECK(world.until([&] { return std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return !caller->answers.empty(); }); }));
+    // Two slots; the others were refused with a time to come back.
+    CHECK_EQUAL(2, target.requests.size());
+    unsigned refused = 0;
+    for (const auto& caller : callers) {
+        if (caller->answers.front().status == 503) {
+            ++refused;
+            CHECK_FALSE(headerValue(caller->answers.front(), "Retry-After").empty());
+        }
+    }
+    CHECK_EQUAL(6, refused);
+}
+
+TEST(Entry, SendsNothingToATargetThatLeaves)
+{
+    ScriptedTarget& first = world.addTarget([](const HttpMessage& got) { return ScriptedTarget::sound(got); });
+    world.addTarget([](const HttpMessage& got) { return ScriptedTarget::sound(got); });
+    world.start(3, false);
+    // Only one daemon knows so far.
+    world.entries.front().target.leaving = true;
+    world.proxies[1]->changeTargets(std::vector<TargetEntry> { world.entries.front() }, {});
+    for (int count = 0; count < 4; ++count) {
+        auto caller = world.caller(1);
+        CHECK_EQUAL(200, ask(*caller, request("r" + std::to_string(count), "POST", "x")).status);
+    }
+    CHECK_EQUAL(0, first.requests.size());
+}
+
+TEST(Entry, FinishesWhatItHasTakenWhenItStops)
+{
+    bool open = false;
+    std::string held;
+    ScriptedTarget& target = world.addTarget([&](const HttpMessage& got) -> std::optional<std::string> { return open ? std::optional(ScriptedTarget::sound(got)) : std::nullopt; });
+    world.start(1, true, seconds(5));
+    auto caller = world.caller();
+    caller->send(request("a"));
+    CHECK(world.until([&] { return target.requests.size() == 1; }));
+    bool stopped = false;
+    world.proxies.front()->beginStop([&] { stopped = true; });
+    CHECK_FALSE(world.proxies.front()->ready());
+    open = true;
+    auto second = world.caller();
+    const HttpMessage& answer = ask(*second, request("b"));
+    CHECK_EQUAL(200, answer.status);
+    CHECK_EQUAL(std::string("close"), std::string(headerValue(answer, "Connection")));
+    CHECK(world.until([&] { return stopped; }));
+    CHECK_FALSE(caller->answers.empty());
+}
+
+TEST(Entry, RefusesMalformedAndOversizedRequests)
+{
+    ScriptedTarget& target = world.addTarget([](const HttpMessage& got) { return ScriptedTarget::sound(got); });
+    world.start(1, true);
+    const std::vector<std::pair<std::string, unsigned>> cases {
+        { "NONSENSE\r\n\r\n", 400 },
+        { "GET /stock/1 HTTP/1.1\r\nHost: x\r\nX-Id: a\r\nX-Long: " + std::string(20'000, 'x') + "\r\n\r\n", 431 },
+        { "POST /stock/1 HTTP/1.1\r\nHost: x\r\nX-Id: a\r\nContent-Length: 99999999\r\n\r\n", 413 },
+        { "POST /stock/1 HTTP/1.1\r\nHost: x\r\nX-Id: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "GET /stock/1 HTTP/1.1\r\nHost: x\r\n\r\n", 400 },
+    };
+    for (const auto& [bytes, status] : cases) {
+        auto caller = world.caller();
+        caller->send(bytes);
+        CHECK(world.until([&] { return !caller->answers.empty() || caller->ended; }));
+        CHECK_TEXT(!caller->answers.empty(), bytes.substr(0, 80).c_str());
+        CHECK_EQUAL(status, caller->answers.front().status);
+    }
+    CHECK_EQUAL(0, target.requests.size());
+}
--- /dev/null
+++ b/packages/proxy/tests/unit-http.cpp
@@ -0,0 +1,102 @@
+#include "flamingowick/proxy/HttpMessage.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace flamingowick;
+using namespace flamingowick::proxy;
+
+TEST_GROUP(Http)
+{
+    MessageReader requests { MessageReader::Kind::Requests, {} };
+    MessageReader answers { MessageReader::Kind::Answers, {} };
+};
+
+TEST(Http, ReadsARequestInPiecesOfAnySize)
+{
+    const std::string text = "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello";
+    for (std::size_t size = 1; size <= text.size(); ++size) {
+        requests.restart({});
+        for (std::size_t at = 0; at < text.size(); at += size)
+            requests.take(std::string_view(text).substr(at, size));
+        CHECK(requests.state() == ReadState::Complete);
+        CHECK_EQUAL(std::string("POST"), requests.message().method);
+        CHECK_EQUAL(std::string("/a/b?c=d"), requests.message().target);
+        CHECK_EQUAL(std::string("hello"), requests.message().body);
+    }
+}
+
+TEST(Http, StopsAtTheEndOfAMessage)
+{
+    const std::string first = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    CHECK_EQUAL(first.size(), requests.take(first + first));
+    CHECK(requests.state() == ReadState::Complete);
+}
+
+TEST(Http, ReadsChunkedBodies)
+{
+    requests.take("PUT / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: x\r\n\r\n");
+    CHECK(requests.state() == ReadState::Complete);
+    CHECK_EQUAL(std::string("abcde"), requests.message().body);
+}
+
+TEST(Http, RefusesARequestWithTwoLengths)
+{
+    requests.take("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    CHECK(requests.state() == ReadState::Malformed);
+}
+
+TEST(Http, RefusesWhatIsNoProtocol)
+{
+    for (const std::string_view text : { "\x16\x03\x01garbage\r\n\r\n", "GET / FTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost : x\r\n\r\n", "GET / HTTP/1.1\r\nA: b\x01\r\n\r\n" }) {
+        requests.restart({});
+        requests.take(text);
+        CHECK(requests.state() != ReadState::Complete);
+    }
+}
+
+TEST(Http, KeepsToItsLimits)
+{
+    requests.restart({ 64, 10 });
+    requests.take("GET / HTTP/1.1\r\nHost: " + std::string(100, 'x') + "\r\n\r\n");
+    CHECK(requests.state() == ReadState::HeaderTooLarge);
+    requests.restart({ 640, 10 });
+    requests.take("PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n");
+    CHECK(requests.state() == ReadState::BodyTooLarge);
+    requests.restart({ 640, 10 });
+    requests.take("PUT / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n012345678901234\r\n0\r\n\r\n");
+    CHECK(requests.state() == ReadState::BodyTooLarge);
+}
+
+TEST(Http, AnAnswerWithoutALengthEndsWithItsConnection)
+{
+    answers.take("HTTP/1.1 200 OK\r\n\r\nwhole");
+    CHECK(answers.state() == ReadState::Incomplete);
+    answers.takeEnd();
+    CHECK(answers.state() == ReadState::Complete);
+    CHECK_EQUAL(std::string("whole"), answers.message().body);
+    CHECK_FALSE(answers.message().keepAlive);
+}
+
+TEST(Http, AnAnswerCutShortIsNotComplete)
+{
+    answers.take("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    answers.takeEnd();
+    CHECK(answers.state() == ReadState::Incomplete);
+}
+
+TEST(Http, AnAnswerToHeadHasNoBody)
+{
+    answers.restart({}, true);
+    answers.take("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+    CHECK(answers.state() == ReadState::Complete);
+}
+
+TEST(Http, KnowsHeadersThatConcernOneConnection)
+{
+    HttpMessage message;
+    message.headers = { { "Connection", "close, X-Hop" }, { "X-Hop", "1" }, { "X-Far", "2" } };
+    CHECK(concernsConnection(message, "connection"));
+    CHECK(concernsConnection(message, "x-hop"));
+    CHECK(concernsConnection(message, "Transfer-Encoding"));
+    CHECK_FALSE(concernsConnection(message, "X-Far"));
+}
--- /dev/null
+++ b/packages/proxy/tests/unit-parts.cpp
@@ -0,0 +1,343 @@
+#include "flamingowick/proxy/Configuration.h"
+#include "flamingowick/proxy/Fleet.h"
+#include "flamingowick/proxy/ProxySettingsText.h"
+#include "flamingowick/proxy/StateCache.h"
+#include "flamingowick/proxy/StateFeed.h"
+#include "flamingowick/proxy/TargetDirectory.h"
+#include "flamingowick/proxy/TargetGroups.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace flamingowick;
+using namespace flamingowick::proxy;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(Routes)
+{
+    RouteIndex indexOf(std::vector<std::pair<std::string, std::string>> hostsAndPrefixes)
+    {
+        Configuration configuration;
+        for (const auto& [host, prefix] : hostsAndPrefixes) {
+            Route route;
+            route.host = host;
+            route.pathPrefix = prefix;
+            route.name = host + prefix;
+            configuration.routes.push_back(route);
+        }
+        return RouteIndex(configuration);
+    }
+};
+
+TEST(Routes, TheLongestPrefixWins)
+{
+    const RouteIndex index = indexOf({ { "a", "/x/" }, { "a", "/x/y/" }, { "b", "/" } });
+    CHECK_EQUAL(std::string("a/x/y/"), index.find("a", "/x/y/z")->name);
+    CHECK_EQUAL(std::string("a/x/"), index.find("a", "/x/yz")->name);
+    CHECK_EQUAL(std::string("b/"), index.find("b", "/anything?else=/x/")->name);
+}
+
+TEST(Routes, AreNotFoundByAPartOfASegmentOrAnotherHost)
+{
+    const RouteIndex index = indexOf({ { "a", "/x/" } });
+    POINTERS_EQUAL(nullptr, index.find("a", "/x"));
+    POINTERS_EQUAL(nullptr, index.find("a", "/xy/z"));
+    POINTERS_EQUAL(nullptr, index.find("b", "/x/z"));
+    POINTERS_EQUAL(nullptr, index.find("a", ""));
+    CHECK(index.find("A:8080", "/x/z") != nullptr);
+}
+
+TEST_GROUP(Directory)
+{
+    TargetDirectory directory;
+    TimePoint now { seconds(500) };
+
+    static TargetEntry entry(const std::string& instance, bool leaving = false, std::int64_t startedAt = 1)
+    {
+        TargetEntry made;
+        made.service = "s";
+        made.target.instance = instance;
+        made.target.address = "10.0.0.1:80";
+        made.target.leaving = leaving;
+        made.startedAt = startedAt;
+        return made;
+    }
+
+    DirectoryChange write(std::vector<TargetEntry> entries) { return changeEntries(directory, entries, {}, now); }
+    DirectoryChange remove(std::vector<std::string> instances) { return changeEntries(directory, {}, instances, now); }
+
+    void fill(unsigned count)
+    {
+        for (unsigned index = 0; index < count; ++index)
+            write({ entry("t" + std::to_string(index)) });
+    }
+};
+
+TEST(Directory, ATargetThatLeavesStaysSoUntilItStartsAnew)
+{
+    write({ entry("t", true) });
+    write({ entry("t") });
+    CHECK_FALSE(takesRequests(directory, "t"));
+    write({ entry("t", false, 2) });
+    CHECK(takesRequests(directory, "t"));
+}
+
+TEST(Directory, ASingleEntryThatVanishesIsGoneAtOnce)
+{
+    fill(6);
+    CHECK_EQUAL(1, remove({ "t3" }).gone.size());
+    CHECK_FALSE(takesRequests(directory, "t3"));
+}
+
+TEST(Directory, EntriesThatVanishWhileTheStoreIsAwayAreKeptUntilAWhileAfterItsReturn)
+{
+    fill(6);
+    noteStoreAway(directory);
+    CHECK_EQUAL(0, remove({ "t3" }).gone.size());
+    now += seconds(60);
+    CHECK_EQUAL(0, expireEntries(directory, now).gone.size());
+    noteStoreBack(directory, now);
+    now += seconds(2);
+    CHECK_EQUAL(0, expireEntries(directory, now).gone.size());
+    now += seconds(1);
+    CHECK_EQUAL(1, expireEntries(directory, now).gone.size());
+}
+
+TEST(Directory, AnEntryThatComesBackInTimeIsKept)
+{
+    fill(6);
+    noteStoreAway(directory);
+    remove({ "t3" });
+    noteStoreBack(directory, now);
+    write({ entry("t3") });
+    now += seconds(10);
+    CHECK_EQUAL(0, expireEntries(directory, now).gone.size());
+    CHECK(takesRequests(directory, "t3"));
+}
+
+TEST(Directory, ManyThatVanishTogetherAreKeptForAMoment)
+{
+    fill(6);
+    const DirectoryChange change = remove({ "t0", "t1", "t2" });
+    CHECK_EQUAL(0, change.gone.size());
+    CHECK_EQUAL(3, change.kept.size());
+    now += milliseconds(1600);
+    CHECK_EQUAL(3, expireEntries(directory, now).gone.size());
+}
+
+TEST(Directory, ATargetThatSaidThatItLeavesIsNotKept)
+{
+    fill(6);
+    write({ entry("t3", true) });
+    noteStoreAway(directory);
+    CHECK_EQUAL(1, remove({ "t3" }).gone.size());
+}
+
+TEST(Directory, AnInstanceThatStartsAnewLosesItsConnections)
+{
+    write({ entry("t") });
+    CHECK_EQUAL(1, write({ entry("t", false, 2) }).gone.size());
+    CHECK(takesRequests(directory, "t"));
+}
+
+TEST_GROUP(Members)
+{
+    Fleet fleet;
+    TimePoint now { seconds(500) };
+
+    void fill(unsigned count)
+    {
+        fleet.self = "m0";
+        std::vector<FleetMember> members;
+        for (unsigned index = 0; index < count; ++index)
+            members.push_back({ "m" + std::to_string(index), "10.0.0." + std::to_string(index) + ":1", index % 2 == 0 ? "a" : "b" });
+        setMembers(fleet, members, now);
+    }
+};
+
+TEST(Members, AgreeOnADispatcherWhoeverTheyAre)
+{
+    fill(9);
+    const std::string first = dispatchersOf(fleet, "g").front();
+    fleet.self = "m5";
+    CHECK_EQUAL(first, dispatchersOf(fleet, "g").front());
+}
+
+TEST(Members, ThatAreSilentOrLeavingDispatchForNobody)
+{
+    fill(9);
+    const std::string first = dispatchersOf(fleet, "g").front();
+    fleet.self = first == "m0" ? "m1" : "m0";
+    CHECK(memberSilent(fleet, first, now));
+    CHECK_FALSE(memberSilent(fleet, first, now));
+    const std::string second = dispatchersOf(fleet, "g").front();
+    CHECK(second != first);
+    CHECK(memberHeard(fleet, first));
+    CHECK_EQUAL(first, dispatchersOf(fleet, "g").front());
+    memberLeaves(fleet, first);
+    CHECK_EQUAL(second, dispatchersOf(fleet, "g").front());
+}
+
+TEST(Members, AreProbedMoreAndMoreRarelyWhileTheyAreSilent)
+{
+    fill(3);
+    memberSilent(fleet, "m1", now);
+    unsigned probes = 0;
+    for (int step = 0; step < 300; ++step) {
+        now += milliseconds(100);
+        probes += static_cast<unsigned>(dueProbes(fleet, now).size());
+    }
+    CHECK(probes >= 5);
+    CHECK(probes <= 10);
+}
+
+TEST(Members, JoinBeforeAListThatLagsNamesThem)
+{
+    fill(3);
+    addMember(fleet, { "new", "10.1.0.1:1", "a" }, now);
+    setMembers(fleet, {}, now + seconds(5));
+    CHECK(fleet.members.find("new") != fleet.members.end());
+    setMembers(fleet, {}, now + seconds(11));
+    CHECK(fleet.members.find("new") == fleet.members.end());
+    CHECK(fleet.members.find("m0") != fleet.members.end());
+}
+
+TEST(Members, ThatAreSilentForLongAreRemovedByOneOfTheOthers)
+{
+    fill(5);
+    unsigned removers = 0;
+    for (const std::string self : { "m0", "m1", "m3", "m4" }) {
+        fleet.self = self;
+        fleet.members.at("m2").suspected = false;
+        memberSilent(fleet, "m2", now);
+        CHECK_EQUAL(0, membersToRemove(fleet, now + seconds(30)).size());
+        removers += static_cast<unsigned>(membersToRemove(fleet, now + seconds(61)).size());
+    }
+    CHECK_EQUAL(1, removers);
+}
+
+TEST(Members, RelaysAreOfTheOwnDomainWhileItHasAny)
+{
+    fill(10);
+    for (const std::string& name : relaysOf(fleet, "b", {}))
+        CHECK_EQUAL(std::string("b"), fleet.members.at(name).failureDomain);
+    CHECK_EQUAL(2, relaysOf(fleet, "b", {}).size());
+    CHECK_EQUAL(2, relaysOf(fleet, "nowhere", {}).size());
+}
+
+TEST_GROUP(Groups) {};
+
+TEST(Groups, AreOfBoundedSizeAndCoverEachTargetOnce)
+{
+    CHECK_EQUAL(1, groupCount(0));
+    CHECK_EQUAL(1, groupCount(18));
+    const unsigned count = groupCount(232);
+    CHECK(count > 1);
+    for (int target = 0; target < 232; ++target) {
+        const std::string instance = "i-" + std::to_string(target);
+        unsigned groups = 0;
+        for (unsigned index = 0; index < count; ++index)
+            groups += inGroup({ "s", index, count }, instance) ? 1 : 0;
+        CHECK_EQUAL(1, groups);
+        CHECK(inGroup(groupOf("s", instance, count), instance));
+    }
+}
+
+TEST(Groups, AreReadBackFromTheirNames)
+{
+    const auto read = parseGroup(groupName({ "a/b", 3, 8 }));
+    CHECK_EQUAL(std::string("a/b"), read->service);
+    CHECK_EQUAL(3, read->index);
+    CHECK_EQUAL(8, read->count);
+    for (const std::string_view bad : { "", "a", "a/1", "a/8/8", "a/0/0", "a/x/8", "a/1/999999", "a/-1/8" })
+        CHECK_FALSE(parseGroup(bad).has_value());
+}
+
+TEST_GROUP(State)
+{
+    KindCache cache;
+
+    static StateChange put(const std::string& name, std::uint64_t revision) { return { { name, revision, name + std::to_string(revision) }, false }; }
+    static StateChange gone(const std::string& name, std::uint64_t revision) { return { { name, revision, {} }, true }; }
+};
+
+TEST(State, TellsWhatHasChangedByAList)
+{
+    CHECK_EQUAL(2, takeWhole(cache, 10, std::vector<StateObject> { { "a", 5, "" }, { "b", 6, "" } }).size());
+    const auto news = takeWhole(cache, 12, std::vector<StateObject> { { "b", 6, "" }, { "c", 11, "" } });
+    CHECK_EQUAL(2, news.size());
+    CHECK(news[0].removed);
+    CHECK_EQUAL(std::string("a"), news[0].object.name);
+    CHECK_EQUAL(std::string("c"), news[1].object.name);
+}
+
+TEST(State, NeverGoesBack)
+{
+    takeWhole(cache, 10, std::vector<StateObject> { { "a", 5, "" } });
+    takeChanges(cache, 20, std::vector<StateChange> { put("a", 18) });
+    CHECK_EQUAL(0, takeWhole(cache, 12, std::vector<StateObject> { { "a", 5, "" } }).size());
+    CHECK_EQUAL(0, takeChanges(cache, 12, std::vector<StateChange> { put("a", 11), gone("a", 12) }).size());
+    CHECK_EQUAL(18, cache.objects.at("a").revision);
+    CHECK_EQUAL(20, cache.seen);
+}
+
+TEST(State, GivesAPeerWhatItLacks)
+{
+    takeWhole(cache, 10, std::vector<StateObject> { { "a", 5, "" }, { "b", 6, "" } });
+    CHECK(hasNews(cache, 0));
+    CHECK(changesSince(cache, 0).whole);
+    CHECK_EQUAL(2, changesSince(cache, 0).changes.size());
+    CHECK_FALSE(hasNews(cache, 10));
+    takeChanges(cache, 14, std::vector<StateChange> { put("c", 12), gone("a", 14) });
+    const StateDelta delta = changesSince(cache, 10);
+    CHECK_FALSE(delta.whole);
+    CHECK_EQUAL(14, delta.revision);
+    CHECK_EQUAL(2, delta.changes.size());
+}
+
+TEST(State, APeerThatTakesDeltasEndsWithTheSameObjects)
+{
+    KindCache peer;
+    for (std::uint64_t revision = 1; revision < 4000; ++revision) {
+        const std::string name = "o" + std::to_string(revision * 7919 % 50);
+        takeChanges(cache, revision, std::vector<StateChange> { revision % 3 == 0 ? gone(name, revision) : put(name, revision) });
+        cache.known = true;
+        if (revision % (1 + revision % 37) != 0)
+            continue;
+        const StateDelta delta = changesSince(cache, peer.seen);
+        std::vector<StateObject> objects;
+        for (const StateChange& change : delta.changes)
+            objects.push_back(change.object);
+        if (delta.whole)
+            takeWhole(peer, delta.revision, objects);
+        else
+            takeChanges(peer, delta.revision, delta.changes);
+        CHECK_EQUAL(cache.objects.size(), peer.objects.size());
+        for (const auto& [key, object] : cache.objects)
+            CHECK_EQUAL(object.revision, peer.objects.at(key).revision);
+    }
+}
+
+TEST_GROUP(ProxySettingsTexts)
+{
+    static constexpr std::string_view good = R"({
+        // A daemon.
+        "vm": "front-1", "failureDomain": "hall", "callerAddress": "10.0.0.1:80", "readyAddress": "10.0.0.1:81",
+        "peerAddress": "10.0.0.1:82", "storeAddress": "10.9.0.1:83", "stopGrace": "2.5s", "retryRatio": 0.2, "retryBurst": 56 })";
+};
+
+TEST(ProxySettingsTexts, AreReadWithTheirUnits)
+{
+    const auto checked = parseProxySettings(good);
+    CHECK(checked.accepted());
+    CHECK(checked.value.stopGrace == milliseconds(2500));
+    DOUBLES_EQUAL(56, checked.value.retryBurst, 0);
+}
+
+TEST(ProxySettingsTexts, AllFindingsAreReportedWithTheirPlace)
+{
+    const auto checked = parseProxySettings("{\n\"vm\": \"front 1\",\n\"callerAddress\": 5,\n\"stopGrace\": \"soon\",\n\"sotreAddress\": \"10.0.0.1:80\"\n}");
+    CHECK(checked.findings.size() >= 6);
+    CHECK(std::any_of(checked.findings.begin(), checked.findings.end(), [](const Finding& finding) { return finding.pointer == "/stopGrace" && finding.line == 4; }));
+    CHECK(std::any_of(checked.findings.begin(), checked.findings.end(), [](const Finding& finding) { return finding.pointer == "/sotreAddress" && finding.line == 5; }));
+}
