--- /dev/null
+++ b/packages/telemetry/tests/unit-event-log.cpp
@@ -0,0 +1,119 @@
+#include "flamingowick/telemetry/EventLog.h"
+
+#include <fcntl.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <csignal>
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace flamingowick;
+using namespace flamingowick::telemetry;
+using std::chrono::seconds;
+
+TEST_GROUP(EventLogs)
+{
+    int ends[2] { -1, -1 };
+
+    void setup() override
+    {
+        Clock::pause();
+        CHECK_EQUAL(0, ::pipe2(ends, O_CLOEXEC));
+    }
+
+    void teardown() override
+    {
+        ::close(ends[0]);
+        ::close(ends[1]);
+        Clock::resume();
+    }
+
+    std::vector<nlohmann::json> lines() const
+    {
+        std::string text(1U << 20U, '\0');
+        const ssize_t size = ::read(ends[0], text.data(), text.size());
+        std::istringstream stream(text.substr(0, static_cast<std::size_t>(std::max<ssize_t>(size, 0))));
+        std::vector<nlohmann::json> parsed;
+        for (std::string line; std::getline(stream, line);)
+            parsed.push_back(nlohmann::json::parse(line));
+        return parsed;
+    }
+};
+
+TEST(EventLogs, WriteOneObjectALineWithTimePartAndEvent)
+{
+    EventLog log(ends[1], 100);
+    log.write(Weight::Request, "entry", "routed", EventFields().text("request", "r1").number("leftMs", 20).real("failing", 0.125).flag("first", true).milliseconds("ageMs", std::chrono::milliseconds(7)));
+    log.flush();
+    const nlohmann::json line = lines().front();
+    CHECK_EQUAL(std::string("entry"), line.at("part").get<std::string>());
+    CHECK_EQUAL(std::string("routed"), line.at("event").get<std::string>());
+    CHECK_EQUAL(std::string("r1"), line.at("request").get<std::string>());
+    CHECK_EQUAL(20, line.at("leftMs").get<int>());
+    CHECK_EQUAL(7, line.at("ageMs").get<int>());
+    DOUBLES_EQUAL(0.125, line.at("failing").get<double>(), 0.001);
+    CHECK_EQUAL('Z', line.at("time").get<std::string>().back());
+}
+
+TEST(EventLogs, StayReadableWhateverAValueHolds)
+{
+    EventLog log(ends[1], 100);
+    std::string every;
+    for (int byte = 0; byte < 256; ++byte)
+        every.push_back(static_cast<char>(byte));
+    log.write(Weight::Request, "entry", "routed", EventFields().text("path", every));
+    log.flush();
+    CHECK_EQUAL(1, lines().size());
+}
+
+TEST(EventLogs, BoundTheLinesASecondAndCountWhatIsLeftOut)
+{
+    EventLog log(ends[1], 10);
+    for (int count = 0; count < 100; ++count)
+        log.write(Weight::Request, "entry", "routed", EventFields());
+    CHECK_EQUAL(80, log.leftOut());
+    Clock::advance(seconds(1));
+    log.write(Weight::Request, "entry", "routed", EventFields());
+    log.flush();
+    const auto written = lines();
+    CHECK_EQUAL(22, written.size());
+    CHECK_EQUAL(std::string("lines-left-out"), written.at(20).at("event").get<std::string>());
+    CHECK_EQUAL(80, written.at(20).at("count").get<int>());
+}
+
+TEST(EventLogs, KeepRoomForLinesAboutTheProcess)
+{
+    EventLog log(ends[1], 10);
+    for (int count = 0; count < 100; ++count)
+        log.write(Weight::Request, "entry", "routed", EventFields());
+    const std::uint64_t before = log.leftOut();
+    log.write(Weight::Process, "daemon", "stopping", EventFields());
+    CHECK_EQUAL(before, log.leftOut());
+}
+
+TEST(EventLogs, NeverBlockOnAReaderThatDoesNotRead)
+{
+    EventLog log(ends[1], 1'000'000);
+    const std::string filler(200, 'x');
+    // Far more than a pipe and the buffer hold: a write that blocked would never return.
+    for (int count = 0; count < 10'000; ++count)
+        log.write(Weight::Request, "entry", "routed", EventFields().text("filler", filler));
+    log.flush();
+    CHECK(log.leftOut() > 0);
+    // Whole lines only, once the reader goes on.
+    CHECK(lines().size() > 10);
+}
+
+TEST(EventLogs, GoOnWhenNobodyListensAnyMore)
+{
+    ::signal(SIGPIPE, SIG_IGN);
+    EventLog log(ends[1], 1000);
+    ::close(ends[0]);
+    ends[0] = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+    for (int count = 0; count < 1000; ++count)
+        log.write(Weight::Request, "entry", "routed", EventFields().text("filler", std::string(200, 'x')));
+    log.flush();
+    CHECK(log.leftOut() > 0);
+}
