Tell a request's course from the logs of several daemons; name request and VM in every line

flamingowickctl explain REQUEST-ID reads logs from files or standard input. Dispatchers now log the request's id with the inputs of each grant. Latencies are histograms with fixed bounds, which can be summed over VMs.

--- a/packages/ctl/app/flamingowickctl.cpp
+++ b/packages/ctl/app/flamingowickctl.cpp
@@ -1,6 +1,7 @@
 #include "flamingowick/ctl/Adapters.h"
 #include "flamingowick/ctl/Apply.h"
 #include "flamingowick/ctl/Commands.h"
+#include "flamingowick/ctl/RequestStory.h"
 #include "flamingowick/model/Error.h"
 
 #include <gflags/gflags.h>
@@ -23,6 +24,7 @@
 DEFINE_string(by, "", "Who makes the change; the user's name when absent.");
 DEFINE_string(base, "", "File with the text that the change began from.");
 DEFINE_string(expect_version, "", "The platform's version that the change began from.");
+DEFINE_string(log, "", "Log files of daemons, as FILE,FILE; standard input when absent.");
 DEFINE_string(output, "text", "text or json.");
 DEFINE_double(wait_seconds, 6, "How long apply settles a lost answer, and how long it waits for the verdict; 0 to 3600.");
 
@@ -38,6 +40,7 @@
   history SERVICE          show its audit trail
   status                   show daemons and services
   explain SERVICE TARGET   show why a target is treated as it is
+  explain REQUEST-ID       tell a request's course from daemons' logs, --log FILES or standard input
 Flags:
   --platform URL           base address of the platform's object API, as http://ip:port
   --daemons ADDRESSES      administration addresses of daemons, as ip:port,ip:port
@@ -47,6 +50,7 @@
   --base FILE              the text that the change began from
   --expect-version VERSION the platform's version that the change began from
   --wait-seconds SECONDS   for settling a lost answer, and again for the verdict; 6 when absent
+  --log FILES              log files of daemons, as FILE,FILE
   --output text|json
 get, history and status ask the platform, or daemons when they are given; explain asks daemons.
 Exit codes: 0 ok, 1 failure, 2 bad usage or bad document, 3 conflict, 4 outcome unknown, 5 unreachable.
@@ -132,6 +136,23 @@
         throw UsageError { "give --platform or --daemons" };
 }
 
+ctl::Report tellStory(const std::string& requestId)
+{
+    std::vector<std::ifstream> files;
+    std::stringstream list(FLAGS_log);
+    for (std::string path; std::getline(list, path, ',');) {
+        files.emplace_back(path);
+        if (!files.back())
+            throw UsageError { "can't read file '" + path + "'" };
+    }
+    std::vector<std::istream*> logs;
+    for (std::ifstream& file : files)
+        logs.push_back(&file);
+    if (logs.empty())
+        logs.push_back(&std::cin);
+    return ctl::tellStory(logs, requestId);
+}
+
 ctl::Report runWithFile(const ctl::Ports& ports, std::string_view command, const std::string& file)
 {
     if (command == "validate")
@@ -152,6 +173,8 @@
     const std::size_t arguments = words.size() - 1;
     if ((command == "validate" || command == "diff" || command == "apply") && arguments == 1)
         return runWithFile(ports, command, words[1]);
+    if (command == "explain" && arguments == 1)
+        return tellStory(words[1]);
     if (command == "explain" && arguments == 2)
         return ctl::explain(ports, words[1], words[2], daemons);
     requirePlatform(daemons);
--- a/packages/ctl/include/flamingowick/ctl/Reports.h
+++ b/packages/ctl/include/flamingowick/ctl/Reports.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -167,8 +168,27 @@
     std::optional<EjectionSummary> ejection;
 };
 
+// One line of a daemon's log.
+struct StoryLine {
+    // RFC 3339 text by the daemon's wall clock.
+    std::string time;
+    std::string vm;
+    std::string part;
+    std::string event;
+    // The other fields in the order of the line; texts without quotes.
+    std::vector<std::pair<std::string, std::string>> fields;
+    // About a target of the request, not about the request itself.
+    bool aside { false };
+};
+
+// The course of one request.
+struct StoryReport {
+    std::string requestId;
+    std::vector<StoryLine> lines;
+};
+
 using Report = std::variant<FailureReport, ValidateReport, DiffReport, ApplyReport, GetReport,
-    HistoryReport, StatusReport, StoredStatusReport, ExplainReport>;
+    HistoryReport, StatusReport, StoredStatusReport, ExplainReport, StoryReport>;
 
 // Returns the exit code that a report stands for. Never throws.
 ExitCode exitCodeOf(const Report&) noexcept;
--- a/packages/ctl/src/ExitCodes.cpp
+++ b/packages/ctl/src/ExitCodes.cpp
@@ -43,6 +43,11 @@
         return report.gaps.empty() ? ExitCode::Ok : ExitCode::Failure;
     }
 
+    ExitCode codeOf(const StoryReport& report) noexcept
+    {
+        return report.lines.empty() ? ExitCode::Failure : ExitCode::Ok;
+    }
+
     ExitCode codeOf(const StatusReport& report) noexcept
     {
         const auto answered = [](const DaemonStatus& daemon) { return daemon.error.empty(); };
--- a/packages/ctl/src/RenderJson.cpp
+++ b/packages/ctl/src/RenderJson.cpp
@@ -1,4 +1,5 @@
 #include "flamingowick/ctl/Reports.h"
+#include "flamingowick/ctl/RequestStory.h"
 
 #include "flamingowick/configuration/StoreText.h"
 
@@ -146,6 +147,18 @@
         return json;
     }
 
+    Json toJson(const StoryReport& report)
+    {
+        Json json { { "request", report.requestId }, { "conclusion", concludeStory(report) }, { "lines", Json::array() } };
+        for (const StoryLine& line : report.lines) {
+            Json shown { { "time", line.time }, { "vm", line.vm }, { "part", line.part }, { "event", line.event }, { "aside", line.aside }, { "says", describe(line) } };
+            for (const auto& [name, value] : line.fields)
+                shown["fields"][name] = value;
+            json["lines"].push_back(std::move(shown));
+        }
+        return json;
+    }
+
 }
 
 std::string renderJson(const Report& report)
--- a/packages/ctl/src/RenderText.cpp
+++ b/packages/ctl/src/RenderText.cpp
@@ -1,4 +1,5 @@
 #include "flamingowick/ctl/Reports.h"
+#include "flamingowick/ctl/RequestStory.h"
 
 #include "flamingowick/configuration/OperatorText.h"
 #include "flamingowick/settings/FindingText.h"
@@ -181,6 +182,16 @@
         return text + "Explained by the daemon at " + printable(report.source) + std::string(role);
     }
 
+    std::string render(const StoryReport& report)
+    {
+        if (report.lines.empty())
+            return "No line of the logs names request " + printable(report.requestId) + ".\n";
+        std::string text = "Request " + printable(report.requestId) + ": " + concludeStory(report) + "\n";
+        for (const StoryLine& line : report.lines)
+            text += (line.aside ? "  . " : "    ") + printable(line.time) + "  " + printable(line.vm) + "  " + printable(describe(line)) + "\n";
+        return text;
+    }
+
 }
 
 std::string renderText(const Report& report)
--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -40,6 +40,8 @@
 
 struct GrantRequest {
     AttemptKey key;
+    // Names the caller's request in logs.
+    std::string label;
     // 0 is served first.
     unsigned rank { 0 };
     // The request may run more than once, so that a failing target costs it time only.
@@ -81,6 +83,8 @@
 // The word on one request.
 struct Decision {
     AttemptKey key;
+    // As in the request.
+    std::string label;
     Verdict verdict { Verdict::Granted };
     // Instance of the target; empty when refused.
     std::string instance;
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -154,6 +154,7 @@
     {
         Decision decision;
         decision.key = request.key;
+        decision.label = request.label;
         decision.instance = choice.target->listed.instance;
         decision.unusualAfter = quantile(profileOf(pool, request.workload), unusualQuantile);
         decision.failing = choice.failing;
@@ -166,11 +167,12 @@
         return decision;
     }
 
-    Decision refuse(TargetPool& pool, const AttemptKey& key, RefusalReason reason, Duration retryAfter)
+    Decision refuse(TargetPool& pool, const GrantRequest& request, RefusalReason reason, Duration retryAfter)
     {
         ++pool.events.refused;
         Decision decision;
-        decision.key = key;
+        decision.key = request.key;
+        decision.label = request.label;
         decision.verdict = Verdict::Refused;
         decision.reason = reason;
         decision.retryAfter = std::max(retryAfter, leastRetryAfter);
@@ -317,6 +319,7 @@
     if (const auto running = pool.attempts.find(request.key); running != pool.attempts.end()) {
         Decision again;
         again.key = request.key;
+        again.label = request.label;
         again.instance = running->second;
         again.unusualAfter = quantile(profileOf(pool, request.workload), unusualQuantile);
         return { again };
@@ -325,7 +328,7 @@
         return {};
     if (request.repeat) {
         if (pool.retries.tokens < 1)
-            return { refuse(pool, request.key, RefusalReason::NoRetry, Duration::zero()) };
+            return { refuse(pool, request, RefusalReason::NoRetry, Duration::zero()) };
     } else {
         earnRetry(pool.retries);
     }
@@ -336,13 +339,13 @@
         return { grant(pool, request, choice, now) };
     }
     if (!choice.anyEligible)
-        return { refuse(pool, request.key, RefusalReason::NoTarget, seconds(1)) };
+        return { refuse(pool, request, RefusalReason::NoTarget, seconds(1)) };
     const auto ahead = static_cast<std::size_t>(std::distance(pool.waiting.begin(), pool.waiting.upper_bound(request.rank)));
     const unsigned slots = eligibleSlots(pool, now);
     const Duration wait = expectedWait(pool, ahead, slots, now);
     // Further attempts don't queue: their first attempt may still answer.
     if (request.repeat || ahead >= std::size_t { pool.limits.waitingPerSlot } * slots || now + wait > lastUsefulStart(pool, request) || wait > longestWait(pool, request))
-        return { refuse(pool, request.key, RefusalReason::NoRoom, expectedWait(pool, pool.waiting.size(), slots, now)) };
+        return { refuse(pool, request, RefusalReason::NoRoom, expectedWait(pool, pool.waiting.size(), slots, now)) };
     const unsigned rank = request.rank;
     pool.waiting.emplace(rank, WaitingRequest { std::move(request), now });
     if (!pool.saturatedSince)
@@ -412,9 +415,9 @@
             ++waiting;
             continue;
         }
-        const AttemptKey key = waiting->second.request.key;
+        const GrantRequest late = std::move(waiting->second.request);
         waiting = pool.waiting.erase(waiting);
-        decisions.push_back(refuse(pool, key, RefusalReason::NoRoom, expectedWait(pool, pool.waiting.size(), slots, now)));
+        decisions.push_back(refuse(pool, late, RefusalReason::NoRoom, expectedWait(pool, pool.waiting.size(), slots, now)));
     }
     return decisions;
 }
--- a/packages/proxy/include/flamingowick/proxy/HttpClient.h
+++ b/packages/proxy/include/flamingowick/proxy/HttpClient.h
@@ -41,7 +41,7 @@
     HttpClient& operator=(const HttpClient&) = delete;
 
     // Makes the call on a kept connection or a new one; the handler is called once, later.
-    void call(HttpCall, ReplyHandler);
+    void call(const HttpCall&, ReplyHandler);
 
     // Gives up all calls that are under way; each handler gets an answer without a status.
     void abandonAll(std::string_view reason);
--- a/packages/proxy/include/flamingowick/proxy/PeerLink.h
+++ b/packages/proxy/include/flamingowick/proxy/PeerLink.h
@@ -66,7 +66,7 @@
 };
 
 struct PeerHandlers {
-    std::function<void(const PeerSource&, AskMessage)> onAsk;
+    std::function<void(const PeerSource&, const AskMessage&)> onAsk;
     std::function<void(const PeerSource&, const WordMessage&)> onWord;
     std::function<void(const PeerSource&, const EndMessage&)> onEnd;
     std::function<void(const PeerSource&, const RunningMessage&)> onRunning;
--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -63,7 +63,7 @@
     void planProbes();
     void fleetChanged();
     void hear(const PeerSource&);
-    void takeAsk(const PeerSource&, AskMessage);
+    void takeAsk(const PeerSource&, const AskMessage&);
     void takePresence(const PeerSource&, const PresenceMessage&);
     void decideHosted(const grants::Decision&);
     void postWord(const std::string& granter, const WordMessage&);
@@ -83,6 +83,7 @@
     std::shared_ptr<const ConfigurationInForce> inForce;
     TargetDirectory directory;
     bool targetsKnown { false };
+    TimePoint targetsChangedAt;
     Fleet fleet;
     // Addresses of the entries whose requests this daemon dispatches, by sender.
     std::unordered_map<std::uint64_t, std::string> entries;
--- a/packages/proxy/src/HttpClient.cpp
+++ b/packages/proxy/src/HttpClient.cpp
@@ -156,7 +156,7 @@
         connection->close();
 }
 
-void HttpClient::call(HttpCall call, ReplyHandler handler)
+void HttpClient::call(const HttpCall& call, ReplyHandler handler)
 {
     std::shared_ptr<HttpClientConnection> connection;
     if (this->idle.empty()) {
--- a/packages/proxy/src/PeerLink.cpp
+++ b/packages/proxy/src/PeerLink.cpp
@@ -34,6 +34,7 @@
         message.left = milliseconds(ask.left());
         grants::GrantRequest& request = message.request;
         request.key = { sender, ask.number() };
+        request.label = ask.request();
         request.rank = ask.rank();
         request.repeat = ask.repeat();
         request.idempotent = ask.idempotent();
@@ -103,6 +104,7 @@
     wire::Ask& ask = *this->datagramTo(address).add_asks();
     ask.set_number(message.number);
     ask.set_service(message.group);
+    ask.set_request(message.request.label);
     ask.set_rank(message.request.rank);
     ask.set_repeat(message.request.repeat);
     ask.set_idempotent(message.request.idempotent);
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -117,6 +117,7 @@
 void Proxy::changeTargets(std::span<const TargetEntry> written, std::span<const std::string> removed)
 {
     this->targetsKnown = true;
+    this->targetsChangedAt = Clock::now();
     this->applyChange(changeEntries(this->directory, written, removed, Clock::now()));
 }
 
@@ -208,7 +209,7 @@
 PeerHandlers Proxy::peerHandlers()
 {
     PeerHandlers handlers;
-    handlers.onAsk = [this](const PeerSource& source, AskMessage message) { this->takeAsk(source, std::move(message)); };
+    handlers.onAsk = [this](const PeerSource& source, const AskMessage& message) { this->takeAsk(source, message); };
     handlers.onWord = [this](const PeerSource& source, const WordMessage& word) {
         this->hear(source);
         this->entry->takeWord(std::string(nameAt(this->fleet, source.address)), word);
@@ -243,7 +244,7 @@
     }
 }
 
-void Proxy::takeAsk(const PeerSource& source, AskMessage message)
+void Proxy::takeAsk(const PeerSource& source, const AskMessage& message)
 {
     this->entries[source.sender] = source.address;
     this->hear(source);
@@ -292,7 +293,7 @@
 {
     const bool granted = decision.verdict == grants::Verdict::Granted;
     this->log.write(Weight::Request, "dispatch", granted ? "granted" : "refused",
-        EventFields().number("entry", static_cast<std::int64_t>(decision.key.entry)).number("number", static_cast<std::int64_t>(decision.key.number)).text("target", decision.instance).real("failing", decision.failing).number("inFlight", decision.inFlight).number("waiting", static_cast<std::int64_t>(decision.waiting)).text("reason", toString(decision.reason)));
+        EventFields().text("request", decision.label).text("target", decision.instance).real("failing", decision.failing).number("inFlight", decision.inFlight).number("waiting", static_cast<std::int64_t>(decision.waiting)).text("reason", toString(decision.reason)).milliseconds("targetsAgeMs", Clock::now() - this->targetsChangedAt));
     this->metrics.count(granted ? "flamingowick_grants_total" : "flamingowick_refusals_total");
     const WordMessage word { granted ? WordKind::Granted : WordKind::Refused, decision };
     if (decision.key.entry == this->sender) {
--- a/packages/proxy/src/RequestCourse.cpp
+++ b/packages/proxy/src/RequestCourse.cpp
@@ -160,6 +160,7 @@
     message.left = this->deadline - Clock::now();
     grants::GrantRequest& request = message.request;
     request.key = { this->context.sender, message.number };
+    request.label = this->requestId;
     request.rank = this->route.rank;
     request.repeat = this->asked->repeat;
     request.idempotent = this->route.idempotent;
@@ -368,9 +369,9 @@
     const Duration lasted = Clock::now() - attempt.startedAt;
     this->report(attempt, result.outcome, lasted);
     this->context.metrics.count("flamingowick_attempts_total", serviceLabel(this->service).append(",outcome=\"").append(outcomeName(result.outcome)).append("\""));
-    this->context.metrics.observe("flamingowick_attempt_seconds", serviceLabel(this->service), lasted);
+    this->context.metrics.record("flamingowick_attempt_seconds", serviceLabel(this->service), lasted);
     if (result.outcome == Outcome::Succeeded) {
-        this->pass(std::move(result.answer));
+        this->pass(result.answer);
         return;
     }
     this->context.log.write(Weight::Request, "entry", "attempt-failed",
@@ -410,7 +411,7 @@
 void RequestCourse::concludeWithout(Duration retryAfter)
 {
     if (this->failure && !promisesNotRun(this->failure->status)) {
-        this->pass(std::move(*this->failure));
+        this->pass(HttpMessage(*this->failure));
         return;
     }
     if (this->mayHaveRun)
@@ -419,7 +420,7 @@
         this->answerOwn(503, this->lastReason, retryAfter);
 }
 
-void RequestCourse::pass(HttpMessage answer)
+void RequestCourse::pass(const HttpMessage& answer)
 {
     if (promisesNotRun(answer.status)) {
         this->answerOwn(502, "target-failed", std::nullopt);
@@ -452,7 +453,7 @@
     this->context.log.write(Weight::Request, "entry", "answered",
         EventFields().text("request", this->requestId).text("service", this->service).number("status", status).text("reason", reason).text("target", instance).number("attempts", this->sentCount).milliseconds("tookMs", now - this->began).milliseconds("leftMs", this->deadline - now));
     std::string labels = serviceLabel(this->service);
-    this->context.metrics.observe("flamingowick_request_seconds", labels, now - this->began);
+    this->context.metrics.record("flamingowick_request_seconds", labels, now - this->began);
     this->context.metrics.count("flamingowick_requests_total", labels.append(",status=\"").append(std::to_string(status)).append("\""));
     this->cancelAttempts(Outcome::Abandoned);
     this->dropQuestion();
@@ -484,7 +485,7 @@
     const bool sent = this->mayHaveRun || !this->attempts.empty();
     this->cancelAttempts(Outcome::Hung);
     if (this->failure && !promisesNotRun(this->failure->status))
-        this->pass(std::move(*this->failure));
+        this->pass(HttpMessage(*this->failure));
     else if (sent)
         this->answerOwn(504, "deadline", std::nullopt);
     else
--- a/packages/proxy/src/RequestCourse.h
+++ b/packages/proxy/src/RequestCourse.h
@@ -56,7 +56,7 @@
     bool mayAskAgain() const;
     void failedOrShed();
     void concludeWithout(Duration retryAfter);
-    void pass(HttpMessage answer);
+    void pass(const HttpMessage& answer);
     void answerOwn(unsigned status, std::string_view reason, std::optional<Duration> retryAfter);
     void finish(unsigned status, std::string_view reason, const std::string& instance);
     void callerLeft();
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -258,7 +258,7 @@
     HttpCall call;
     call.path = std::move(path);
     call.timeout = this->limits.hold + this->limits.answerSlack;
-    relay->client.call(std::move(call), [this, relay](const HttpReply& reply) { this->takeAnswer(relay, reply); });
+    relay->client.call(call, [this, relay](const HttpReply& reply) { this->takeAnswer(relay, reply); });
 }
 
 void StateFeed::takeAnswer(const std::shared_ptr<Followed>& relay, const HttpReply& reply)
--- a/packages/proxy/tests/unit-parts.cpp
+++ b/packages/proxy/tests/unit-parts.cpp
@@ -13,21 +13,20 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-TEST_GROUP(Routes)
-{
-    RouteIndex indexOf(std::vector<std::pair<std::string, std::string>> hostsAndPrefixes)
-    {
+TEST_GROUP(Routes) {
+    RouteIndex indexOf(std::vector<std::pair<std::string, std::string>> hostsAndPrefixes) {
         Configuration configuration;
-        for (const auto& [host, prefix] : hostsAndPrefixes) {
-            Route route;
-            route.host = host;
-            route.pathPrefix = prefix;
-            route.name = host + prefix;
-            configuration.routes.push_back(route);
-        }
-        return RouteIndex(configuration);
-    }
-};
+for (const auto& [host, prefix] : hostsAndPrefixes) {
+    Route route;
+    route.host = host;
+    route.pathPrefix = prefix;
+    route.name = host + prefix;
+    configuration.routes.push_back(route);
+}
+return RouteIndex(configuration);
+}
+}
+;
 
 TEST(Routes, TheLongestPrefixWins)
 {
--- a/packages/telemetry/include/flamingowick/telemetry/EventLog.h
+++ b/packages/telemetry/include/flamingowick/telemetry/EventLog.h
@@ -39,8 +39,8 @@
 class EventLog {
 public:
     // Writes to the descriptor, which stays open while the log lives. linesPerSecond bounds each
-    // weight by itself.
-    EventLog(int descriptor, unsigned linesPerSecond);
+    // weight by itself. origin names the VM in each line; empty: none does.
+    EventLog(int descriptor, unsigned linesPerSecond, std::string_view origin = {});
 
     void setLinesPerSecond(unsigned);
 
@@ -67,6 +67,7 @@
     void reportLeftOut();
 
     int descriptor;
+    std::string originField;
     double linesPerSecond;
     Allowance requestLines;
     Allowance processLines;
--- a/packages/telemetry/include/flamingowick/telemetry/Metrics.h
+++ b/packages/telemetry/include/flamingowick/telemetry/Metrics.h
@@ -30,6 +30,9 @@
     // algorithm of Boost.Accumulators in constant memory.
     void observe(std::string_view name, std::string_view labels, Duration);
 
+    // Adds a duration to a histogram with fixed bounds from 5 ms to 10 s, which can be summed over VMs.
+    void record(std::string_view name, std::string_view labels, Duration);
+
     // Returns the value of a counter, 0 when it was never counted.
     std::uint64_t counterValue(std::string_view name, std::string_view labels = {}) const;
 
--- a/packages/telemetry/src/EventLog.cpp
+++ b/packages/telemetry/src/EventLog.cpp
@@ -111,10 +111,12 @@
     return *this;
 }
 
-EventLog::EventLog(int logDescriptor, unsigned lines)
+EventLog::EventLog(int logDescriptor, unsigned lines, std::string_view origin)
     : descriptor(logDescriptor)
     , linesPerSecond(lines)
 {
+    if (!origin.empty())
+        this->originField = EventFields().text("vm", origin).json();
     this->requestLines = { this->linesPerSecond * burstSeconds, Clock::now() };
     this->processLines = this->requestLines;
 }
@@ -140,7 +142,8 @@
 {
     this->buffer.append("{\"time\":\"");
     appendTime(this->buffer);
-    this->buffer.append("\",\"part\":\"").append(part).append("\",\"event\":\"").append(event).push_back('"');
+    this->buffer.push_back('"');
+    this->buffer.append(this->originField).append(",\"part\":\"").append(part).append("\",\"event\":\"").append(event).push_back('"');
     this->buffer.append(fields).append("}\n");
 }
 
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -27,6 +27,14 @@
         auto operator<=>(const MeasureName&) const = default; // NOLINT(modernize-use-nullptr)
     };
 
+    constexpr std::array<double, 11> histogramBounds { 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10 };
+
+    struct Histogram {
+        // Counts of observations up to each bound, and of all.
+        std::array<std::uint64_t, histogramBounds.size() + 1> counts {};
+        double sum { 0 };
+    };
+
     Summary makeSummary()
     {
         return Summary(accumulators::tag::extended_p_square::probabilities = quantiles);
@@ -48,6 +56,21 @@
         text.append("# TYPE ").append(name).append(" ").append(type).append("\n");
     }
 
+    void appendHistogram(std::string& text, const MeasureName& measure, const Histogram& histogram)
+    {
+        const std::string prefix = measure.labels.empty() ? std::string() : measure.labels + ",";
+        for (std::size_t index = 0; index < histogramBounds.size(); ++index) {
+            std::string bound = std::to_string(histogramBounds.at(index));
+            bound.erase(bound.find_last_not_of('0') + 1);
+            if (bound.back() == '.')
+                bound.pop_back();
+            appendSample(text, measure.name + "_bucket", prefix + "le=\"" + bound + "\"", static_cast<double>(histogram.counts.at(index)));
+        }
+        appendSample(text, measure.name + "_bucket", prefix + "le=\"+Inf\"", static_cast<double>(histogram.counts.back()));
+        appendSample(text, measure.name + "_sum", measure.labels, histogram.sum);
+        appendSample(text, measure.name + "_count", measure.labels, static_cast<double>(histogram.counts.back()));
+    }
+
     void appendSummary(std::string& text, const MeasureName& measure, const Summary& summary)
     {
         for (std::size_t index = 0; index < quantiles.size(); ++index) {
@@ -65,6 +88,7 @@
     std::map<MeasureName, std::uint64_t> counters;
     std::map<MeasureName, double> gauges;
     std::map<MeasureName, Summary> summaries;
+    std::map<MeasureName, Histogram> histograms;
 };
 
 Metrics::Metrics()
@@ -93,6 +117,16 @@
     entry->second(std::chrono::duration<double>(duration).count());
 }
 
+void Metrics::record(std::string_view name, std::string_view labels, Duration duration)
+{
+    Histogram& histogram = this->impl->histograms[{ std::string(name), std::string(labels) }];
+    const double seconds = std::chrono::duration<double>(duration).count();
+    for (std::size_t index = 0; index < histogramBounds.size(); ++index)
+        histogram.counts.at(index) += seconds <= histogramBounds.at(index) ? 1 : 0;
+    ++histogram.counts.back();
+    histogram.sum += seconds;
+}
+
 std::uint64_t Metrics::counterValue(std::string_view name, std::string_view labels) const
 {
     auto entry = this->impl->counters.find({ std::string(name), std::string(labels) });
@@ -115,6 +149,10 @@
         appendType(text, last, measure.name, "summary");
         appendSummary(text, measure, summary);
     }
+    for (const auto& [measure, histogram] : this->impl->histograms) {
+        appendType(text, last, measure.name, "histogram");
+        appendHistogram(text, measure, histogram);
+    }
     return text;
 }
 
--- a/packages/telemetry/tests/unit-event-log.cpp
+++ b/packages/telemetry/tests/unit-event-log.cpp
@@ -44,10 +44,11 @@
 
 TEST(EventLogs, WriteOneObjectALineWithTimePartAndEvent)
 {
-    EventLog log(ends[1], 100);
+    EventLog log(ends[1], 100, "vm-1");
     log.write(Weight::Request, "entry", "routed", EventFields().text("request", "r1").number("leftMs", 20).real("failing", 0.125).flag("first", true).milliseconds("ageMs", std::chrono::milliseconds(7)));
     log.flush();
     const nlohmann::json line = lines().front();
+    CHECK_EQUAL(std::string("vm-1"), line.at("vm").get<std::string>());
     CHECK_EQUAL(std::string("entry"), line.at("part").get<std::string>());
     CHECK_EQUAL(std::string("routed"), line.at("event").get<std::string>());
     CHECK_EQUAL(std::string("r1"), line.at("request").get<std::string>());
--- a/packages/telemetry/tests/unit-metrics.cpp
+++ b/packages/telemetry/tests/unit-metrics.cpp
@@ -36,3 +36,17 @@
     STRCMP_EQUAL("entry: ", std::string(prefix(Part::Entry)).c_str());
     STRCMP_EQUAL("keys: ", std::string(prefix(Part::Keys)).c_str());
 }
+
+TEST(Metrics, HistogramsCountUpToEachBound)
+{
+    telemetry::Metrics metrics;
+    metrics.record("wait_seconds", "service=\"a\"", std::chrono::milliseconds(7));
+    metrics.record("wait_seconds", "service=\"a\"", std::chrono::seconds(60));
+    const std::string text = metrics.render();
+    CHECK(text.find("# TYPE wait_seconds histogram") != std::string::npos);
+    CHECK(text.find("wait_seconds_bucket{service=\"a\",le=\"0.005\"} 0.") != std::string::npos);
+    CHECK(text.find("wait_seconds_bucket{service=\"a\",le=\"0.01\"} 1.") != std::string::npos);
+    CHECK(text.find("wait_seconds_bucket{service=\"a\",le=\"10\"} 1.") != std::string::npos);
+    CHECK(text.find("wait_seconds_bucket{service=\"a\",le=\"+Inf\"} 2.") != std::string::npos);
+    CHECK(text.find("wait_seconds_count{service=\"a\"} 2.") != std::string::npos);
+}
