--- a/packages/ctl/app/flamingowickctl.cpp
+++ b/packages/ctl/app/flamingowickctl.cpp
@@ -146,6 +146,7 @@
             throw UsageError { "can't read file '" + path + "'" };
     }
     std::vector<std::istream*> logs;
+    logs.reserve(files.size() + 1);
     for (std::ifstream& file : files)
         logs.push_back(&file);
     if (logs.empty())
--- a/packages/ctl/src/RequestStory.cpp
+++ b/packages/ctl/src/RequestStory.cpp
@@ -92,7 +92,7 @@
         return "entry: answers " + field(line, "status") + " (" + field(line, "reason") + (field(line, "target").empty() ? "" : " " + field(line, "target")) + ") after " + field(line, "tookMs") + " ms and " + field(line, "attempts") + " attempts";
     std::string text = line.part + ": " + line.event;
     for (const auto& [name, value] : line.fields)
-        text += " " + name + "=" + value;
+        text.append(" ").append(name).append("=").append(value);
     return text;
 }
 
--- a/packages/ctl/tests/unit-story.cpp
+++ b/packages/ctl/tests/unit-story.cpp
@@ -11,9 +11,11 @@
     StoryReport tell(std::vector<std::string> texts, std::string_view id)
     {
         std::vector<std::istringstream> streams;
+        streams.reserve(texts.size());
         for (std::string& text : texts)
             streams.emplace_back(std::move(text));
         std::vector<std::istream*> logs;
+        logs.reserve(streams.size());
         for (std::istringstream& stream : streams)
             logs.push_back(&stream);
         return tellStory(logs, id);
--- a/packages/grants/include/flamingowick/grants/Belief.h
+++ b/packages/grants/include/flamingowick/grants/Belief.h
@@ -3,6 +3,8 @@
 #include "flamingowick/grants/LatencyProfile.h"
 #include "flamingowick/model/Clock.h"
 
+#include <string_view>
+
 // How likely it is that a target is failing its requests at this moment.
 //
 // A target is modelled as a two-state hidden Markov process: sound or failing, with sojourns of a few
@@ -31,6 +33,9 @@
     Abandoned,
 };
 
+// Returns the outcome as logs and metrics show it. Never throws.
+std::string_view toString(Outcome) noexcept;
+
 struct BeliefModel {
     // Share of targets that fail at any time, before any evidence.
     double failingShare { 0.15 };
--- a/packages/grants/src/Belief.cpp
+++ b/packages/grants/src/Belief.cpp
@@ -45,6 +45,29 @@
 
 }
 
+std::string_view toString(Outcome outcome) noexcept
+{
+    switch (outcome) {
+    case Outcome::Succeeded:
+        return "answered";
+    case Outcome::Failed:
+        return "failed";
+    case Outcome::Shed:
+        return "shed";
+    case Outcome::Broken:
+        return "broken";
+    case Outcome::Hung:
+        return "hung";
+    case Outcome::Unreachable:
+        return "unreachable";
+    case Outcome::Replaced:
+        return "replaced";
+    case Outcome::Abandoned:
+        return "abandoned";
+    }
+    return "broken";
+}
+
 double relaxed(const Belief& belief, const BeliefModel& model, TimePoint now) noexcept
 {
     const double elapsed = std::max(0.0, std::chrono::duration<double>(now - belief.at).count());
--- a/packages/proxy/src/DispatcherHost.cpp
+++ b/packages/proxy/src/DispatcherHost.cpp
@@ -87,7 +87,7 @@
         const bool isOut = after > quarantineShown;
         if (wasOut != isOut) {
             this->log.write(telemetry::Weight::Process, this->part, isOut ? "ejected" : "readmitted",
-                telemetry::EventFields().text("target", instance).text("group", group).real("failingBefore", before).real("failing", after).number("outcome", static_cast<std::int64_t>(outcome)).milliseconds("lastedMs", lasted));
+                telemetry::EventFields().text("target", instance).text("group", group).real("failingBefore", before).real("failing", after).text("outcome", toString(outcome)).milliseconds("lastedMs", lasted));
         }
     }
 }
--- a/packages/proxy/src/RequestCourse.cpp
+++ b/packages/proxy/src/RequestCourse.cpp
@@ -47,29 +47,6 @@
         return status == 408 || status == 421 || status == 429 || status == 503;
     }
 
-    std::string_view outcomeName(Outcome outcome) noexcept
-    {
-        switch (outcome) {
-        case Outcome::Succeeded:
-            return "answered";
-        case Outcome::Failed:
-            return "failed";
-        case Outcome::Shed:
-            return "shed";
-        case Outcome::Broken:
-            return "broken";
-        case Outcome::Hung:
-            return "hung";
-        case Outcome::Unreachable:
-            return "unreachable";
-        case Outcome::Replaced:
-            return "replaced";
-        case Outcome::Abandoned:
-            return "abandoned";
-        }
-        return "broken";
-    }
-
     std::string secondsText(Duration duration)
     {
         const auto count = std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(duration).count());
@@ -133,7 +110,7 @@
     return groupCount(countTargets(this->context.directory, this->service));
 }
 
-void RequestCourse::ask(bool repeat)
+void RequestCourse::openQuestion(bool repeat)
 {
     const unsigned count = this->groupTotal();
     Question next;
@@ -149,6 +126,11 @@
     next.since = Clock::now();
     this->asked = std::move(next);
     this->entry.asking[this->asked->number] = this;
+}
+
+void RequestCourse::ask(bool repeat)
+{
+    this->openQuestion(repeat);
     this->askNext();
 }
 
@@ -207,9 +189,15 @@
         question.number = this->entry.nextNumber();
         this->entry.asking[question.number] = this;
     }
-    // No dispatcher can be reached.
+    this->decideAlone();
+}
+
+// Without a dispatcher the request goes by what this daemon has seen itself.
+void RequestCourse::decideAlone()
+{
+    Question& question = *this->asked;
     this->context.metrics.count("flamingowick_decided_alone_total");
-    question.due = now + waitCheck;
+    question.due = Clock::now() + waitCheck;
     question.waits = true;
     question.index = maxDispatchers;
     this->context.own.ask(this->question());
@@ -245,7 +233,7 @@
     if (word.kind == WordKind::Granted)
         this->granted(word.decision, granter);
     else
-        this->refused(word.decision);
+        this->refused(word.decision, granter);
     if (!this->done)
         this->planTimer();
 }
@@ -300,7 +288,16 @@
         this->hedgeAt.reset();
 }
 
-void RequestCourse::refused(const grants::Decision& decision)
+bool RequestCourse::knowsTarget() const
+{
+    const auto& entries = this->context.directory.entries;
+    return std::any_of(entries.begin(), entries.end(), [this](const auto& item) {
+        const TargetEntry& known = item.second.entry;
+        return known.service == this->service && !known.target.leaving && std::find(this->tried.begin(), this->tried.end(), item.first) == this->tried.end();
+    });
+}
+
+void RequestCourse::refused(const grants::Decision& decision, const std::string& granter)
 {
     const std::string group = this->asked->group;
     const bool repeat = this->asked->repeat;
@@ -310,6 +307,12 @@
     this->lastReason = toString(decision.reason);
     this->context.log.write(Weight::Request, "entry", "refused",
         EventFields().text("request", this->requestId).text("group", group).text("reason", this->lastReason).number("waiting", static_cast<std::int64_t>(decision.waiting)).milliseconds("retryAfterMs", decision.retryAfter).flag("repeat", repeat));
+    // A dispatcher that has just started doesn't know the targets yet.
+    if (decision.reason == grants::RefusalReason::NoTarget && granter != decidedAlone && this->attempts.empty() && this->knowsTarget()) {
+        this->openQuestion(repeat);
+        this->decideAlone();
+        return;
+    }
     // Another attempt may still answer; if not, there may be room a little later.
     if (!this->attempts.empty()) {
         this->hedgeAt = Clock::now() + hedgeRetry;
@@ -368,17 +371,17 @@
     this->attempts.erase(found);
     const Duration lasted = Clock::now() - attempt.startedAt;
     this->report(attempt, result.outcome, lasted);
-    this->context.metrics.count("flamingowick_attempts_total", serviceLabel(this->service).append(",outcome=\"").append(outcomeName(result.outcome)).append("\""));
+    this->context.metrics.count("flamingowick_attempts_total", serviceLabel(this->service).append(",outcome=\"").append(toString(result.outcome)).append("\""));
     this->context.metrics.record("flamingowick_attempt_seconds", serviceLabel(this->service), lasted);
     if (result.outcome == Outcome::Succeeded) {
         this->pass(result.answer);
         return;
     }
     this->context.log.write(Weight::Request, "entry", "attempt-failed",
-        EventFields().text("request", this->requestId).text("target", attempt.instance).text("outcome", outcomeName(result.outcome)).number("status", result.answer.status).text("reason", result.reason).flag("newConnection", result.newConnection).milliseconds("lastedMs", lasted));
+        EventFields().text("request", this->requestId).text("target", attempt.instance).text("outcome", toString(result.outcome)).number("status", result.answer.status).text("reason", result.reason).flag("newConnection", result.newConnection).milliseconds("lastedMs", lasted));
     const bool notRun = result.outcome == Outcome::Shed || result.outcome == Outcome::Replaced || result.outcome == Outcome::Unreachable;
     if (notRun) {
-        this->lastReason = outcomeName(result.outcome);
+        this->lastReason = toString(result.outcome);
         if (result.outcome == Outcome::Unreachable)
             --this->sentCount;
     } else {
--- a/packages/proxy/src/RequestCourse.h
+++ b/packages/proxy/src/RequestCourse.h
@@ -45,11 +45,14 @@
 
     unsigned groupTotal() const;
     void ask(bool repeat);
+    void openQuestion(bool repeat);
     void askNext();
+    void decideAlone();
     AskMessage question() const;
     void dropQuestion();
     void granted(const grants::Decision&, const std::string& granter);
-    void refused(const grants::Decision&);
+    void refused(const grants::Decision&, const std::string& granter);
+    bool knowsTarget() const;
     void send(const grants::Decision&, const std::string& granter);
     void ended(std::uint64_t number, AttemptResult);
     void report(const Attempt&, grants::Outcome, Duration lasted);
--- a/packages/proxy/tests/unit-entry.cpp
+++ b/packages/proxy/tests/unit-entry.cpp
@@ -223,6 +223,23 @@
     CHECK_EQUAL(3, target.requests.size());
 }
 
+TEST(Entry, GoesOnWithoutADispatcherThatKnowsNoTargetsYet)
+{
+    ScriptedTarget& target = world.addTarget([](const HttpMessage& got) { return ScriptedTarget::sound(got); });
+    world.start(4, false);
+    const std::string dispatcher = dispatchersOf(world.proxies.front()->knownFleet(), "stock/0/1").front();
+    std::size_t other = 0;
+    for (std::size_t index = 0; index < world.proxies.size(); ++index) {
+        if (world.settings[index].vm == dispatcher)
+            world.proxies[index]->changeTargets({}, std::vector<std::string> { "i-1" });
+        else
+            other = index;
+    }
+    auto caller = world.caller(other);
+    CHECK_EQUAL(200, ask(*caller, request("a", "POST", "x")).status);
+    CHECK_EQUAL(1, target.requests.size());
+}
+
 TEST(Entry, NeverOverrunsASlotThatAllEntriesShare)
 {
     ScriptedTarget& target = world.addTarget(hang);
