--- a/packages/keys/src/EntrySide.cpp
+++ b/packages/keys/src/EntrySide.cpp
@@ -10,8 +10,9 @@
 
     constexpr unsigned statusUnavailable = 503;
     constexpr std::chrono::seconds shortRetry { 1 };
-    // Sends of one request by the entry: the first, and one after a refusal that names another owner.
-    constexpr unsigned maxForwards = 2;
+    // Sends of one request by the entry. A refusal says that no entry was made, so each later owner may be
+    // asked; a range that moves more often than this in one request's time has a fault of its own.
+    constexpr unsigned maxForwards = 6;
 
     void answerWithoutOwner(Context& context, const RequestId& id, std::string_view reason)
     {
--- a/packages/keys/tests/unit-machine.cpp
+++ b/packages/keys/tests/unit-machine.cpp
@@ -260,6 +260,28 @@
     }
 }
 
+TEST(KeyMachine, SendsARequestAfterARangeThatMovesTwiceInQuickSuccession)
+{
+    const std::array<DaemonId, 3> owners { DaemonId { "vm2", 1 }, DaemonId { "vm3", 1 }, DaemonId { "vm4", 1 } };
+    for (int beat = 0; beat < 40; ++beat) {
+        for (const DaemonId& each : owners)
+            owner.take(HeartbeatReceived { each, owner.now, owner.wallMs() });
+        owner.pass(std::chrono::seconds(1));
+    }
+    const auto record = [&owners](std::uint64_t epoch) { return RangeRecord { { "pay", 0 }, owners.at(epoch - 1), {}, epoch, "other", "7" }; };
+    owner.take(OwnerAnnounced { record(1) });
+    Request request = owner.message("key").request;
+    owner.take(CallerRequest { request });
+    for (std::uint64_t epoch = 1; epoch <= 3; ++epoch) {
+        const auto* forward = owner.did<Forward>();
+        CHECK(forward != nullptr);
+        CHECK_EQUAL(epoch, forward->message.epoch);
+        // Each owner made no entry: it has handed the range on meanwhile.
+        if (epoch < 3)
+            owner.take(ForwardRefused { request.id, record(epoch + 1) });
+    }
+}
+
 TEST(KeyMachine, StopsWhenTheStoreNamesAnotherOwner)
 {
     owner.own();
--- a/packages/proxy/tests/unit-parts.cpp
+++ b/packages/proxy/tests/unit-parts.cpp
@@ -14,7 +14,7 @@
 using std::chrono::seconds;
 
 TEST_GROUP(Routes) {
-    RouteIndex indexOf(std::vector<std::pair<std::string, std::string>> hostsAndPrefixes) {
+    static RouteIndex indexOf(const std::vector<std::pair<std::string, std::string>>& hostsAndPrefixes) {
         Configuration configuration;
 for (const auto& [host, prefix] : hostsAndPrefixes) {
     Route route;
@@ -62,8 +62,8 @@
         return made;
     }
 
-    DirectoryChange write(std::vector<TargetEntry> entries) { return changeEntries(directory, entries, {}, now); }
-    DirectoryChange remove(std::vector<std::string> instances) { return changeEntries(directory, {}, instances, now); }
+    DirectoryChange write(const std::vector<TargetEntry>& entries) { return changeEntries(directory, entries, {}, now); }
+    DirectoryChange remove(const std::vector<std::string>& instances) { return changeEntries(directory, {}, instances, now); }
 
     void fill(unsigned count)
     {
