--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -64,7 +64,9 @@
             bound.erase(bound.find_last_not_of('0') + 1);
             if (bound.back() == '.')
                 bound.pop_back();
-            appendSample(text, measure.name + "_bucket", prefix + "le=\"" + bound + "\"", static_cast<double>(histogram.counts.at(index)));
+            std::string labels = prefix;
+            labels.append("le=\"").append(bound).append("\"");
+            appendSample(text, measure.name + "_bucket", labels, static_cast<double>(histogram.counts.at(index)));
         }
         appendSample(text, measure.name + "_bucket", prefix + "le=\"+Inf\"", static_cast<double>(histogram.counts.back()));
         appendSample(text, measure.name + "_sum", measure.labels, histogram.sum);
