--- a/packages/telemetry/include/flamingowick/telemetry/EventLog.h
+++ b/packages/telemetry/include/flamingowick/telemetry/EventLog.h
@@ -73,6 +73,7 @@
     Allowance processLines;
     std::string buffer;
     std::uint64_t unreported { 0 };
+    TimePoint reportedAt;
     std::uint64_t totalLeftOut { 0 };
 };
 
--- a/packages/telemetry/src/EventLog.cpp
+++ b/packages/telemetry/src/EventLog.cpp
@@ -15,6 +15,8 @@
 
     // Lines wait here while the descriptor takes none; past it they are left out.
     constexpr std::size_t maxBufferedBytes = 64U << 10U;
+    // Under load every other line would be one about lines left out.
+    constexpr Duration reportInterval { std::chrono::seconds(1) };
     // Seconds whose lines may come at once.
     constexpr double burstSeconds = 2;
 
@@ -119,6 +121,7 @@
         this->originField = EventFields().text("vm", origin).json();
     this->requestLines = { this->linesPerSecond * burstSeconds, Clock::now() };
     this->processLines = this->requestLines;
+    this->reportedAt = Clock::now();
 }
 
 void EventLog::setLinesPerSecond(unsigned lines)
@@ -151,6 +154,7 @@
 {
     const auto count = static_cast<std::int64_t>(this->unreported);
     this->unreported = 0;
+    this->reportedAt = Clock::now();
     this->append("log", "lines-left-out", EventFields().number("count", count).json());
 }
 
@@ -162,7 +166,7 @@
         return;
     }
     try {
-        if (this->unreported > 0)
+        if (this->unreported > 0 && Clock::now() - this->reportedAt >= reportInterval)
             this->reportLeftOut();
         this->append(part, event, fields.json());
     } catch (const std::exception&) {
--- a/packages/telemetry/tests/unit-event-log.cpp
+++ b/packages/telemetry/tests/unit-event-log.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <sstream>
 
@@ -84,6 +85,20 @@
     CHECK_EQUAL(80, written.at(20).at("count").get<int>());
 }
 
+TEST(EventLogs, SayOnceASecondHowManyLinesWereLeftOut)
+{
+    EventLog log(ends[1], 10);
+    for (int step = 0; step < 3000; ++step) {
+        log.write(Weight::Request, "entry", "routed", EventFields());
+        Clock::advance(std::chrono::milliseconds(1));
+    }
+    log.flush();
+    const auto written = lines();
+    const auto reports = std::count_if(written.begin(), written.end(), [](const auto& line) { return line.at("event") == "lines-left-out"; });
+    CHECK(reports >= 1);
+    CHECK(reports <= 3);
+}
+
 TEST(EventLogs, KeepRoomForLinesAboutTheProcess)
 {
     EventLog log(ends[1], 10);
