Let go of relays and pending flushes when a daemon's parts are destroyed

Found by the address sanitizer in the proxy's and the adapter's tests: a timer's end touched a destroyed proxy, and a question to a relay and the relay held each other.

--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -90,10 +90,10 @@
         return;
     this->flushPlanned = true;
     this->flushTimer.expires_after(flushInterval);
-    this->flushTimer.async_wait([this](const asio::error_code& error) {
-        this->flushPlanned = false;
-        if (error)
+    this->flushTimer.async_wait([this, alive = std::weak_ptr<char>(this->alive)](const asio::error_code& error) {
+        if (error || alive.expired())
             return;
+        this->flushPlanned = false;
         this->log.flush();
         this->planFlush();
     });
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -95,7 +95,11 @@
         CallerServerHandlers { [] { return CallerLimits {}; }, [this](const std::shared_ptr<CallerConnection>& connection) { this->takeQuestion(connection); } });
 }
 
-StateFeed::~StateFeed() = default;
+// A question under way holds its relay, and the relay the question.
+StateFeed::~StateFeed()
+{
+    this->stop();
+}
 
 Duration StateFeed::contactAge() const
 {
