--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -132,12 +132,6 @@
     TimePoint since;
 };
 
-struct PoolEvents {
-    std::uint64_t granted { 0 };
-    std::uint64_t refused { 0 };
-    std::uint64_t quarantined { 0 };
-};
-
 // How often slots become free, as an exponentially weighted rate.
 struct ReleaseRate {
     double perSecond { 0 };
@@ -159,7 +153,6 @@
     ReleaseRate releases;
     // Since when requests have been waiting without a break; the pace tells of the capacity only then.
     std::optional<TimePoint> saturatedSince;
-    PoolEvents events;
 };
 
 // Replaces the list of targets; what was learnt about those that stay is kept. Returns the decisions
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -163,13 +163,11 @@
         choice.target->inFlight.emplace(request.key, PooledAttempt { now, request.workload });
         choice.target->lastGranted = now;
         pool.attempts[request.key] = decision.instance;
-        ++pool.events.granted;
         return decision;
     }
 
     Decision refuse(TargetPool& pool, const GrantRequest& request, RefusalReason reason, Duration retryAfter)
     {
-        ++pool.events.refused;
         Decision decision;
         decision.key = request.key;
         decision.label = request.label;
--- a/packages/proxy/include/flamingowick/proxy/Entry.h
+++ b/packages/proxy/include/flamingowick/proxy/Entry.h
@@ -77,7 +77,7 @@
     std::uint64_t nextNumber();
     // Tells a member, or this daemon's own pools, that an attempt has ended.
     void sendEnd(const std::string& member, const EndMessage&);
-    std::size_t choosePart(const Route&, const ConfigurationInForce&);
+    std::size_t choosePart(const Route&);
 
     EntryContext& context;
     std::unordered_map<const RequestCourse*, std::shared_ptr<RequestCourse>> courses;
--- a/packages/proxy/src/Entry.cpp
+++ b/packages/proxy/src/Entry.cpp
@@ -34,7 +34,7 @@
     return ++this->lastNumber;
 }
 
-std::size_t Entry::choosePart(const Route& route, const ConfigurationInForce&)
+std::size_t Entry::choosePart(const Route& route)
 {
     if (route.parts.size() == 1)
         return 0;
@@ -74,7 +74,7 @@
         answerPlain(*caller, 400, "no request id");
         return;
     }
-    const std::size_t part = this->choosePart(*route, *inForce);
+    const std::size_t part = this->choosePart(*route);
     auto course = std::make_shared<RequestCourse>(*this, caller, inForce, *route, route->parts[part].service);
     this->courses.emplace(course.get(), course);
     course->begin();
