Send a waiting keyed request on once its range's new owner acts

The successor refused the request, and the entry then waited for a later epoch, which never came: the successor announces itself in the same epoch. Its word now counts. A second cause by reading: an announcement that came while the successor read the record was dropped, and the older record read then made it idle until the former owner's next send a second later. Ruled out: hand-over that is merely slow (refused 0.2 s before the limit, store idle).

--- a/packages/keys/include/flamingowick/keys/KeyMachine.h
+++ b/packages/keys/include/flamingowick/keys/KeyMachine.h
@@ -67,6 +67,8 @@
     std::string expectedVersion;
     // Epochs up to this one are over for this daemon whatever a stale read may show.
     std::uint64_t epochFloor { 0 };
+    // The latest epoch in which this daemon was announced as owner while it read the record; 0 for none.
+    std::uint64_t announcedEpoch { 0 };
     // When the store or the successor is asked again.
     TimePoint retryAt;
     // Keys that a predecessor may have seen are unknown until then.
--- a/packages/keys/include/flamingowick/keys/detail/Parts.h
+++ b/packages/keys/include/flamingowick/keys/detail/Parts.h
@@ -76,6 +76,7 @@
 void callerGone(Context&, const RequestId&);
 void heartbeatReceived(Context&, const HeartbeatReceived&);
 void learnOwner(Context&, const RangeRecord&);
+void ownerAnnounced(Context&, const RangeRecord&);
 // Answers the attempts that waited for a record that could not be had or does not exist.
 void noOwnerYet(Context&, const RangeId&);
 void forwardAnswered(Context&, const ForwardAnswered&);
--- a/packages/keys/src/EntrySide.cpp
+++ b/packages/keys/src/EntrySide.cpp
@@ -63,18 +63,28 @@
         context.actions.emplace_back(ReadRecord { id });
     }
 
-    // Returns the requests that wait for an owner of the range with a later epoch than they know.
+    // Returns the requests that wait for an owner of the range in this epoch or a later one.
     std::vector<RequestId> waitingFor(const State& state, const RangeId& id, std::uint64_t epoch)
     {
         std::vector<RequestId> waiting;
         for (const auto& [requestId, attempt] : state.entry.attempts) {
             bool open = attempt.forwards == 0 || attempt.waitUntil;
-            if (open && attempt.range == id && epoch > attempt.epoch)
+            if (open && attempt.range == id && epoch >= attempt.epoch)
                 waiting.push_back(requestId);
         }
         return waiting;
     }
 
+    void forwardWaiting(Context& context, const RangeId& id, std::uint64_t epoch)
+    {
+        const RangeRecord& view = context.state.entry.views.at(id);
+        for (const RequestId& waiting : waitingFor(context.state, id, epoch)) {
+            Attempt& attempt = context.state.entry.attempts.at(waiting);
+            if (attempt.forwards < maxForwards)
+                forwardTo(context, attempt, view.owner, view.epoch);
+        }
+    }
+
 }
 
 void callerRequest(Context& context, const Request& request)
@@ -136,8 +146,15 @@
     if (record.epoch > view.epoch)
         view = record;
     entry.lookups.erase(record.id);
-    for (const RequestId& id : waitingFor(context.state, record.id, view.epoch))
-        forwardTo(context, entry.attempts.at(id), view.owner, view.epoch);
+    forwardWaiting(context, record.id, view.epoch - 1);
+}
+
+void ownerAnnounced(Context& context, const RangeRecord& record)
+{
+    learnOwner(context, record);
+    // An owner that was named before it could act refused what it got, and announces itself once it acts.
+    if (record.epoch >= context.state.entry.views.at(record.id).epoch)
+        forwardWaiting(context, record.id, record.epoch);
 }
 
 void noOwnerYet(Context& context, const RangeId& id)
--- a/packages/keys/src/KeyMachine.cpp
+++ b/packages/keys/src/KeyMachine.cpp
@@ -34,7 +34,7 @@
 
     void take(Context& context, const OwnerAnnounced& event)
     {
-        learnOwner(context, event.record);
+        ownerAnnounced(context, event.record);
         peerCopy(context, event.record);
     }
 
--- a/packages/keys/src/Ownership.cpp
+++ b/packages/keys/src/Ownership.cpp
@@ -16,6 +16,7 @@
     void startReading(Context& context, const RangeId& id, Holding& holding)
     {
         holding.status = HoldingStatus::Reading;
+        holding.announcedEpoch = 0;
         askStore(context, id, holding);
     }
 
@@ -55,7 +56,10 @@
             return;
         }
         bool takeable = !ours && !stale && state.policy.mayTakeOver(record, evidenceOf(state, record.owner, context.now));
-        if (takeable)
+        if (record.epoch < holding.announcedEpoch) {
+            // The store answered before the announced record was written.
+            startReading(context, record.id, holding);
+        } else if (takeable)
             propose(context, record.id, holding, &record);
         else
             holding.status = HoldingStatus::Idle;
@@ -141,8 +145,12 @@
     if (record.owner != state.self)
         return;
     Holding& holding = state.holdings[record.id];
-    if (holding.status == HoldingStatus::Idle && record.epoch > holding.epochFloor)
+    if (record.epoch <= holding.epochFloor)
+        return;
+    if (holding.status == HoldingStatus::Idle)
         startReading(context, record.id, holding);
+    else if (holding.status == HoldingStatus::Reading)
+        holding.announcedEpoch = std::max(holding.announcedEpoch, record.epoch);
 }
 
 void trySucceed(Context& context, Holding& holding)
--- a/packages/keys/tests/unit-machine.cpp
+++ b/packages/keys/tests/unit-machine.cpp
@@ -282,6 +282,59 @@
     }
 }
 
+TEST(KeyMachine, SendsARequestAgainOnceTheNewOwnerIsReady)
+{
+    const DaemonId next { "vm2", 1 };
+    for (int beat = 0; beat < 40; ++beat) {
+        owner.take(HeartbeatReceived { next, owner.now, owner.wallMs() });
+        owner.pass(std::chrono::seconds(1));
+    }
+    const RangeRecord record { { "pay", 0 }, next, {}, 2, "former/2", "7" };
+    // The former owner announces the next one, which has yet to take the entries and refuses.
+    owner.take(OwnerAnnounced { record });
+    Request request = owner.message("key").request;
+    owner.take(CallerRequest { request });
+    CHECK(owner.did<Forward>() != nullptr);
+    owner.take(ForwardRefused { request.id, std::nullopt });
+    owner.take(RecordRead { record.id, ReadResult::Found, record });
+    CHECK(owner.did<Forward>() == nullptr);
+    // It announces itself when it acts, in the same epoch.
+    owner.take(OwnerAnnounced { record });
+    CHECK(owner.did<Forward>() != nullptr);
+}
+
+TEST(KeyMachine, ReadsTheRecordAgainWhenItsNewOwnerIsAnnouncedDuringARead)
+{
+    const DaemonId former { "vm2", 1 };
+    const RangeRecord before { { "pay", 0 }, former, {}, 1, "former/1", "7" };
+    const RangeRecord after { { "pay", 0 }, owner.state.self, former, 2, "former/2", "8" };
+    HandedRange handed;
+    handed.id = after.id;
+    handed.from = former;
+    handed.epochEnded = 1;
+    owner.take(EntriesReceived { handed });
+    CHECK(owner.did<ReadRecord>() != nullptr);
+    // The record is written and announced after the store has read the one before.
+    owner.take(OwnerAnnounced { after });
+    owner.take(RecordRead { before.id, ReadResult::Found, before });
+    CHECK(owner.did<ReadRecord>() != nullptr);
+    owner.take(RecordRead { after.id, ReadResult::Found, after });
+    CHECK(owner.state.holdings[after.id].status == HoldingStatus::Active);
+}
+
+TEST(KeyMachine, DoesNotKeepReadingARecordThatStaysBehindItsAnnouncement)
+{
+    const DaemonId former { "vm2", 1 };
+    const RangeRecord before { { "pay", 0 }, former, {}, 1, "former/1", "7" };
+    const RangeRecord after { { "pay", 0 }, owner.state.self, former, 2, "former/2", "8" };
+    owner.take(OwnerAnnounced { after });
+    owner.take(OwnerAnnounced { after });
+    owner.take(RecordRead { before.id, ReadResult::Found, before });
+    CHECK(owner.did<ReadRecord>() != nullptr);
+    owner.take(RecordRead { before.id, ReadResult::Found, before });
+    CHECK(owner.did<ReadRecord>() == nullptr);
+}
+
 TEST(KeyMachine, StopsWhenTheStoreNamesAnotherOwner)
 {
     owner.own();
