Let no target that looks sound go without requests

It now takes the one that has waited longest among those that look sound, up to 0.85 of all. The test failed before.

--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -110,6 +110,8 @@
     // Share of the targets that gets a request within each window, so that verdicts are tested and the
     // load never rests on a few.
     double coverageShare { 0.7 };
+    // The same as long as targets that look sound have had none, so that none of them is starved.
+    double soundCoverageShare { 0.85 };
     Duration coverageWindow { std::chrono::milliseconds(1850) };
 };
 
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -100,11 +100,13 @@
         bool anyEligible { false };
     };
 
-    // Returns the likeliest sound target among those without a recent request when too few targets have
-    // had one; none when coverage is good.
+    // Returns the target that has waited longest for a request among those that look sound and had none
+    // within the window. When there is none, those under suspicion follow, likeliest sound first. Returns
+    // no target when enough are covered.
     Choice chooseForCoverage(TargetPool& pool, const GrantRequest& request, TimePoint now)
     {
-        Choice choice;
+        Choice sound;
+        Choice suspect;
         std::size_t present = 0;
         std::size_t covered = 0;
         for (auto& [instance, target] : pool.targets) {
@@ -118,14 +120,17 @@
             if (usedSlots(target) >= target.listed.slots || contains(request.avoid, instance))
                 continue;
             const double probability = failing(pool, target, now);
-            if (!choice.target || probability < choice.failing) {
+            const bool looksSound = probability <= pool.limits.quarantineAbove;
+            Choice& choice = looksSound ? sound : suspect;
+            if (!choice.target || (looksSound ? target.lastGranted < choice.target->lastGranted : probability < choice.failing)) {
                 choice.target = &target;
                 choice.failing = probability;
             }
         }
-        if (covered >= static_cast<std::size_t>(std::ceil(pool.limits.coverageShare * static_cast<double>(present))))
-            choice.target = nullptr;
-        return choice;
+        const auto reaches = [covered, present](double share) { return covered >= static_cast<std::size_t>(std::ceil(share * static_cast<double>(present))); };
+        if (sound.target)
+            return reaches(pool.limits.soundCoverageShare) ? Choice {} : sound;
+        return reaches(pool.limits.coverageShare) ? Choice {} : suspect;
     }
 
     Choice choose(TargetPool& pool, const GrantRequest& request, TimePoint now)
--- a/packages/grants/tests/unit-pool.cpp
+++ b/packages/grants/tests/unit-pool.cpp
@@ -141,6 +141,31 @@
     }
 }
 
+TEST(Pool, StarvesNoTargetThatLooksSound)
+{
+    fixture.list(20);
+    fixture.learn(milliseconds(20));
+    for (int step = 0; step < 600; ++step) {
+        fixture.now += milliseconds(20);
+        GrantRequest asked = fixture.request();
+        // Connections are open to those that were tried first.
+        asked.warm = { "t0", "t1", "t10", "t11", "t12", "t13" };
+        const auto decision = fixture.ask(asked);
+        const bool fails = decision->instance == "t18" || decision->instance == "t19";
+        finish(fixture.pool, asked.key, fails ? Outcome::Failed : Outcome::Succeeded, milliseconds(20), fixture.now);
+        if (step < 200)
+            continue;
+        unsigned recent = 0;
+        for (const auto& [instance, target] : fixture.pool.targets) {
+            const bool sound = instance != "t18" && instance != "t19";
+            recent += sound && fixture.now - target.lastGranted <= seconds(2) ? 1 : 0;
+            CHECK(!sound || fixture.now - target.lastGranted <= seconds(4));
+        }
+        // The platform asks for 0.7 of the sound ones.
+        CHECK(recent >= 13);
+    }
+}
+
 TEST(Pool, LeavesOutTargetsThatAreLeavingOrToBeAvoided)
 {
     fixture.list(3);
