Choose among equal targets in an order of each entry's own

Cause: the pool took the first of equal targets by instance, so that entries that decide alone all began with the same.

--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -126,6 +126,8 @@
     Belief belief;
     TimePoint coldUntil;
     TimePoint lastGranted;
+    // Decides between equals.
+    std::uint64_t order { 0 };
     std::map<AttemptKey, PooledAttempt> inFlight;
 };
 
@@ -141,6 +143,9 @@
 };
 
 struct TargetPool {
+    // Differs from pool to pool, so that entries that decide alone don't all choose the same of equal
+    // targets. Set before the first list of targets.
+    std::uint64_t salt { 0 };
     PoolLimits limits;
     BeliefModel model;
     // Latency of all requests, and of each workload by itself.
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -1,7 +1,10 @@
 #include "flamingowick/grants/TargetPool.h"
 
+#include "flamingowick/model/StableHash.h"
+
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace flamingowick::grants {
 
@@ -122,7 +125,8 @@
             const double probability = failing(pool, target, now);
             const bool looksSound = probability <= pool.limits.quarantineAbove;
             Choice& choice = looksSound ? sound : suspect;
-            if (!choice.target || (looksSound ? target.lastGranted < choice.target->lastGranted : probability < choice.failing)) {
+            const auto rank = [looksSound](const PooledTarget& each, double chance) { return looksSound ? std::tuple(each.lastGranted, 0.0, each.order) : std::tuple(TimePoint {}, chance, each.order); };
+            if (!choice.target || rank(target, probability) < rank(*choice.target, choice.failing)) {
                 choice.target = &target;
                 choice.failing = probability;
             }
@@ -146,7 +150,7 @@
             if (usedSlots(*candidate.target) >= candidate.target->listed.slots)
                 continue;
             const double cost = costOf(candidate, request, now);
-            if (!choice.target || cost < best) {
+            if (!choice.target || std::tie(cost, candidate.target->order) < std::tie(best, choice.target->order)) {
                 choice.target = candidate.target;
                 choice.failing = candidate.failing;
                 best = cost;
@@ -308,6 +312,7 @@
             target.belief = { pool.model.failingShare, now };
             target.coldUntil = now + item.cold;
             target.lastGranted = now;
+            target.order = combineHashes(stableHash(item.instance), pool.salt);
         }
         target.listed = item;
         targets.emplace(item.instance, std::move(target));
--- a/packages/grants/tests/unit-pool.cpp
+++ b/packages/grants/tests/unit-pool.cpp
@@ -166,6 +166,22 @@
     }
 }
 
+TEST(Pool, EntriesThatDecideAloneSpreadOverEqualTargets)
+{
+    std::map<std::string, unsigned> chosen;
+    for (std::uint64_t entry = 0; entry < 45; ++entry) {
+        PoolFixture alone;
+        alone.pool.salt = entry;
+        alone.list(47);
+        // Once on their first request, and once when all targets are due for one.
+        ++chosen[alone.ask(alone.request())->instance];
+        alone.now += seconds(3);
+        ++chosen[alone.ask(alone.request())->instance];
+    }
+    for (const auto& [instance, count] : chosen)
+        CHECK(count <= 10);
+}
+
 TEST(Pool, LeavesOutTargetsThatAreLeavingOrToBeAvoided)
 {
     fixture.list(3);
--- a/packages/proxy/src/DispatcherHost.cpp
+++ b/packages/proxy/src/DispatcherHost.cpp
@@ -1,5 +1,7 @@
 #include "flamingowick/proxy/DispatcherHost.h"
 
+#include "flamingowick/model/StableHash.h"
+
 #include <algorithm>
 
 namespace flamingowick::proxy {
@@ -35,6 +37,7 @@
     if (!parsed)
         return nullptr;
     grants::TargetPool& pool = this->groups[std::string(group)];
+    pool.salt = stableHash(this->settings.vm);
     this->refreshTargets(pool, *parsed);
     this->log.write(telemetry::Weight::Process, this->part, "pool-opened", telemetry::EventFields().text("group", group).number("targets", static_cast<std::int64_t>(pool.targets.size())));
     return &pool;
