--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 
 // How the store's state reaches every daemon without every daemon asking the store: a few daemons in
 // each failure domain watch the store, and the others follow two of these. A daemon that has heard from
@@ -70,6 +71,9 @@
 
     bool watching() const noexcept { return this->direct; }
 
+    // Whether a relay has answered this daemon of late, so that it hears of the store through others.
+    bool servedByRelays() const;
+
     void stop();
 
 private:
@@ -103,6 +107,7 @@
     Timer heldTimer;
     Timer reviewTimer;
     TimePoint lastContact;
+    std::optional<TimePoint> lastRelayAnswer;
     TimePoint directUntil;
     bool direct { false };
     bool isRelay { false };
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -129,6 +129,11 @@
     this->lastContact = Clock::now();
 }
 
+bool StateFeed::servedByRelays() const
+{
+    return !this->isRelay && this->lastRelayAnswer && Clock::now() - *this->lastRelayAnswer < this->limits.hold + this->limits.answerSlack;
+}
+
 void StateFeed::takeQuestion(const std::shared_ptr<CallerConnection>& connection)
 {
     const std::string& target = connection->request().target;
@@ -272,7 +277,8 @@
     wire::StateAnswer answer;
     Duration pause = Duration::zero();
     if (reply.status == 200 && answer.ParseFromString(reply.body)) {
-        this->lastContact = std::max(this->lastContact, Clock::now() - milliseconds(answer.contact_age()));
+        this->lastRelayAnswer = Clock::now();
+        this->lastContact = std::max(this->lastContact, *this->lastRelayAnswer - milliseconds(answer.contact_age()));
         for (const wire::KindState& state : answer.kinds()) {
             if (state.kind() >= kindNames.size())
                 continue;
