Let a leaving daemon answer what was on its way to it

Requests sent before they heard of it were lost. It now goes on for 0.5 s after saying so, and the others wait up to 3 s for the answers of a daemon that has left before they call them lost.

--- a/packages/daemon/include/flamingowick/daemon/Core.h
+++ b/packages/daemon/include/flamingowick/daemon/Core.h
@@ -96,6 +96,7 @@
     void issueKey(gateway::ExchangeToken, TimePoint now);
     void documentChanged(const std::string& service);
     void continueShutdown(TimePoint now);
+    void giveUpDeparted(TimePoint now);
 
     CoreContext context;
     PlatformCalls calls;
@@ -109,7 +110,11 @@
     AdminService admin;
     std::optional<TimePoint> shutdownStarted;
     bool acceptingStopped { false };
+    // Since when the others have been told that this daemon leaves.
+    std::optional<TimePoint> leavingSince;
     bool finished { false };
+    // Daemons that have left, and since when.
+    std::vector<std::pair<DaemonId, TimePoint>> departed;
 };
 
 inline constexpr std::chrono::milliseconds tickInterval { 10 };
--- a/packages/daemon/include/flamingowick/daemon/MembershipService.h
+++ b/packages/daemon/include/flamingowick/daemon/MembershipService.h
@@ -16,6 +16,8 @@
     std::function<void(const Member&)> onJoined;
     // Requests sent to the daemon may or may not have run.
     std::function<void(const DaemonId&)> onLost;
+    // The daemon ends soon, and answers what it holds before that.
+    std::function<void(const DaemonId&)> onLeaving;
     // The daemon's process is gone for certain.
     std::function<void(const DaemonId&)> onDead;
 };
--- a/packages/daemon/src/Core.cpp
+++ b/packages/daemon/src/Core.cpp
@@ -10,6 +10,12 @@
     // is treated by them like the ranges of a daemon that died.
     constexpr std::chrono::seconds handOverLimit { 10 };
 
+    // How long a daemon that has said that it leaves goes on, for requests that were on their way to it.
+    constexpr std::chrono::milliseconds leavingTime { 500 };
+
+    // How long the answers of a daemon that has left are waited for.
+    constexpr std::chrono::seconds departedPatience { 3 };
+
 }
 
 Core::Core(DaemonSettings settings, const DaemonId& self, Ports ports, std::uint64_t secret, TimePoint now)
@@ -67,6 +73,7 @@
     MembershipHandlers handlers;
     handlers.onJoined = [this](const Member& member) { this->keyService.memberJoined(member); };
     handlers.onLost = [this](const DaemonId& id) { this->forwards.memberLost(id); };
+    handlers.onLeaving = [this](const DaemonId& id) { this->departed.emplace_back(id, Clock::now()); };
     handlers.onDead = [this](const DaemonId& id) { this->keyService.deathProven(id, Clock::now()); };
     return handlers;
 }
@@ -165,10 +172,22 @@
     this->forwards.tick(now);
     this->dispatch.tick(now);
     this->keyService.tick(now);
+    this->giveUpDeparted(now);
     if (this->shutdownStarted)
         this->continueShutdown(now);
 }
 
+// What a daemon that has left did not answer is lost.
+void Core::giveUpDeparted(TimePoint now)
+{
+    std::erase_if(this->departed, [&](const auto& each) {
+        if (now - each.second < departedPatience)
+            return false;
+        this->forwards.memberLost(DaemonId(each.first));
+        return true;
+    });
+}
+
 void Core::continueShutdown(TimePoint now)
 {
     Duration since = now - *this->shutdownStarted;
@@ -181,8 +200,13 @@
     bool isOver = since >= this->context.settings.shutdownLimit;
     if (this->finished || !this->acceptingStopped || !(isIdle || isOver))
         return;
+    if (!this->leavingSince) {
+        this->leavingSince = now;
+        this->membershipService.leave(now);
+    }
+    if (!isOver && now - *this->leavingSince < leavingTime)
+        return;
     this->finished = true;
-    this->membershipService.leave(now);
     telemetry::logInfo(telemetry::Part::Daemon, "Shutdown is complete.");
     this->context.ports.finished();
 }
--- a/packages/daemon/src/MembershipService.cpp
+++ b/packages/daemon/src/MembershipService.cpp
@@ -72,6 +72,10 @@
 {
     this->context.members.remove(action.member.id);
     this->lost.insert_or_assign(action.member.id.vm, LostDaemon { action.member.id, now });
+    if (action.hasLeft) {
+        this->handlers.onLeaving(action.member.id);
+        return;
+    }
     telemetry::logWarning(telemetry::Part::Membership, "Daemon " + toString(action.member.id) + " is out of reach.");
     this->handlers.onLost(action.member.id);
 }
--- a/packages/daemon/tests/unit-core.cpp
+++ b/packages/daemon/tests/unit-core.cpp
@@ -126,6 +126,17 @@
         }
     }
 
+    // Names the peer that joinPeers() gave the address.
+    static std::string vmAt(const std::string& address) { return "vm-" + address.substr(address.find(':') + 1); }
+
+    // Lets such a peer say that it leaves.
+    void leave(const std::string& address)
+    {
+        const DaemonId peer { vmAt(address), 20 };
+        membership::Update update { { peer, "b", address }, membership::Status::Left, 0, {} };
+        this->core->handle(peers::Envelope { peer, address, 0, 0, membership::Message(membership::Ping { 2, {}, { update } }) }, Clock::now());
+    }
+
     void join(const DaemonId& peer)
     {
         membership::Update update { { peer, "b", "127.0.0.1:2" }, membership::Status::Alive, 0, {} };
@@ -284,9 +295,36 @@
     CHECK(!ports.finished);
     endAttempt(gateway::AttemptEnd::Answered, 200);
     core->tick(Clock::now());
+    // Requests may still be on their way from daemons that haven't heard that it leaves.
+    CHECK(!ports.finished);
+    Clock::advance(std::chrono::milliseconds(500));
+    core->tick(Clock::now());
     CHECK(ports.finished);
 }
 
+TEST(Core, WaitsForTheAnswerOfADispatcherThatHasLeft)
+{
+    joinPeers();
+    call("POST");
+    const std::string address = ports.last<peers::ForwardRequest>()->address;
+    leave(address);
+    CHECK_EQUAL(0U, ports.responses.size());
+    peers::ForwardAnswer answer { lastForward().request.id, 1, Answer { 200, {}, "done", Outcome::Answered, {}, {}, {} } };
+    core->handle(peers::Envelope { { vmAt(address), 20 }, address, 10, 0, answer }, Clock::now());
+    CHECK_EQUAL(200U, ports.responses[0].response.status);
+}
+
+TEST(Core, GivesUpOnADispatcherThatHasLeftWithoutAnAnswer)
+{
+    joinPeers();
+    call("POST");
+    leave(ports.last<peers::ForwardRequest>()->address);
+    Clock::advance(std::chrono::seconds(3));
+    core->tick(Clock::now());
+    CHECK_EQUAL(1U, ports.responses.size());
+    STRCMP_EQUAL("unknown", headerOf(ports.responses[0].response, "X-Outcome").c_str());
+}
+
 TEST(Core, DoesNotHandARangeBackToTheDaemonThatGaveItUp)
 {
     join({ "vm-2", 20 });
--- a/packages/membership/include/flamingowick/membership/Membership.h
+++ b/packages/membership/include/flamingowick/membership/Membership.h
@@ -80,6 +80,8 @@
 // The member is no longer counted as alive; it may come back in the same incarnation.
 struct Lost {
     MemberInfo member;
+    // It said itself that it leaves.
+    bool hasLeft { false };
 };
 struct HasLeft {
     MemberInfo member;
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -92,7 +92,7 @@
         if (isAliveNow && !wasAlive)
             step.actions.emplace_back(Joined { taken.member });
         if (!isAliveNow && wasAlive)
-            step.actions.emplace_back(Lost { taken.member });
+            step.actions.emplace_back(Lost { taken.member, taken.status == Status::Left });
         if (taken.status == Status::Left)
             step.actions.emplace_back(HasLeft { taken.member });
     }
