--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -169,6 +169,8 @@
     std::multimap<unsigned, WaitingRequest> waiting;
     ReleaseRate releases;
     RecentLosses losses;
+    // When a repeatable request was asked for last: these test the targets under suspicion.
+    TimePoint lastIdempotent;
     // Since when requests have been waiting without a break; the pace tells of the capacity only then.
     std::optional<TimePoint> saturatedSince;
 };
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -151,9 +151,13 @@
         }
         const auto reaches = [covered, present](double share) { return covered >= static_cast<std::size_t>(std::ceil(share * static_cast<double>(present))); };
         const bool doubtful = isDoubtful(pool);
-        if (sound.target)
-            return !doubtful && reaches(pool.limits.soundCoverageShare) ? Choice {} : sound;
-        return !doubtful && reaches(pool.limits.coverageShare) ? Choice {} : suspect;
+        if (sound.target && (doubtful || !reaches(pool.limits.soundCoverageShare)))
+            return sound;
+        // A repeatable request loses nothing by it, since it is sent once more at once.
+        if (request.idempotent)
+            return suspect;
+        const bool leftToOthers = now - pool.lastIdempotent < pool.limits.coverageWindow;
+        return sound.target || leftToOthers || (!doubtful && reaches(pool.limits.coverageShare)) ? Choice {} : suspect;
     }
 
     Choice choose(TargetPool& pool, const GrantRequest& request, TimePoint now)
@@ -184,7 +188,8 @@
         decision.key = request.key;
         decision.label = request.label;
         decision.instance = choice.target->listed.instance;
-        decision.unusualAfter = quantile(profileOf(pool, request.workload), unusualQuantile);
+        const bool suspect = choice.failing > pool.limits.quarantineAbove;
+        decision.unusualAfter = request.idempotent && suspect ? Duration::zero() : quantile(profileOf(pool, request.workload), unusualQuantile);
         decision.failing = choice.failing;
         decision.inFlight = usedSlots(*choice.target);
         decision.waiting = pool.waiting.size();
@@ -355,6 +360,8 @@
     }
     if (waits(pool, request.key))
         return {};
+    if (request.idempotent)
+        pool.lastIdempotent = now;
     if (request.repeat) {
         if (pool.retries.tokens < 1)
             return { refuse(pool, request, RefusalReason::NoRetry, Duration::zero(), now) };
--- a/packages/grants/tests/unit-pool.cpp
+++ b/packages/grants/tests/unit-pool.cpp
@@ -185,6 +185,29 @@
     }
 }
 
+TEST(Pool, RepeatableRequestsTestTargetsUnderSuspicionAndAreSentOnceMoreAtOnce)
+{
+    fixture.list(10);
+    fixture.learn(milliseconds(100));
+    const auto bad = fixture.ask(fixture.request());
+    finish(fixture.pool, bad->key, Outcome::Hung, seconds(1), fixture.now);
+    fixture.now += seconds(2);
+    unsigned tests = 0;
+    for (int step = 0; step < 100; ++step) {
+        fixture.now += milliseconds(20);
+        GrantRequest asked = fixture.request();
+        asked.idempotent = step % 2 == 0;
+        const auto decision = fixture.ask(asked);
+        if (decision->instance == bad->instance) {
+            ++tests;
+            CHECK(asked.idempotent);
+            CHECK(decision->unusualAfter == Duration::zero());
+        }
+        finish(fixture.pool, asked.key, decision->instance == bad->instance ? Outcome::Hung : Outcome::Succeeded, milliseconds(100), fixture.now);
+    }
+    CHECK(tests > 0);
+}
+
 TEST(Pool, EntriesThatDecideAloneSpreadOverEqualTargets)
 {
     std::map<std::string, unsigned> chosen;
