Send a repeatable request once more when its target is likelier failing than not

Cause: a late answer was waited for until 97 in 100 answers would have come, however little the target was trusted. The age at which the odds are even follows from the belief and the latencies: early at a doubtful target, later at a proven one.

--- a/packages/grants/include/flamingowick/grants/Belief.h
+++ b/packages/grants/include/flamingowick/grants/Belief.h
@@ -58,6 +58,11 @@
 // a sound one. At least 1. Linear in the profile.
 double pendingRatio(const BeliefModel&, const LatencyProfile&, Duration age) noexcept;
 
+// Returns the age at which an attempt without an answer makes it likelier than not that the target is
+// failing, given the probability at its start: the sooner, the less the target was trusted. Zero when it
+// was so from the start. Linear in the profile.
+Duration doubtedAfter(const BeliefModel&, const LatencyProfile&, double failing) noexcept;
+
 // Returns the probability after evidence that is ratio times as likely at a failing target.
 double updated(double failing, double ratio) noexcept;
 
--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -91,7 +91,8 @@
     RefusalReason reason { RefusalReason::None };
     // When asking again is likely to succeed. Set when refused.
     Duration retryAfter { 0 };
-    // Age at which an attempt without an answer is unusual. Set when granted.
+    // Age at which an attempt without an answer makes it likelier than not that the target is failing.
+    // Set when granted.
     Duration unusualAfter { 0 };
     // What decided: probability that the target is failing, its requests in flight and the waiting
     // requests.
--- a/packages/grants/src/Belief.cpp
+++ b/packages/grants/src/Belief.cpp
@@ -21,6 +21,8 @@
     constexpr double slowWeight = 0.015;
     constexpr double greatestSlowRatio = 3;
     constexpr double greatestPendingRatio = 60;
+    // Fewer late answers than this can't be told from the profile.
+    constexpr double leastUnusual = 0.01;
 
     double ratioOf(const BeliefModel& model, const LatencyProfile& profile, Outcome outcome, Duration lasted) noexcept
     {
@@ -81,6 +83,14 @@
     return std::min((model.failureShare + (1 - model.failureShare) * sound) / sound, greatestPendingRatio);
 }
 
+Duration doubtedAfter(const BeliefModel& model, const LatencyProfile& profile, double failing) noexcept
+{
+    const double odds = failing / (1 - std::min(failing, greatestProbability));
+    // Share of sound answers that are still out when the odds have become even.
+    const double left = odds * model.failureShare / std::max(1 - odds * (1 - model.failureShare), 0.0);
+    return left >= 1 ? Duration::zero() : quantile(profile, 1 - std::max(left, leastUnusual));
+}
+
 double updated(double failing, double ratio) noexcept
 {
     const double odds = failing / (1 - failing) * ratio;
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -35,8 +35,6 @@
     // Share of answers by whose time a request that waits should finish within its objective.
     constexpr double timelyQuantile = 0.7;
     constexpr int leastWaitPart = 4;
-    // Share of answers after which one without an answer is unusual.
-    constexpr double unusualQuantile = 0.97;
     constexpr Duration leastRetryAfter { milliseconds(100) };
 
     unsigned usedSlots(const PooledTarget& target) noexcept { return static_cast<unsigned>(target.inFlight.size()); }
@@ -188,8 +186,7 @@
         decision.key = request.key;
         decision.label = request.label;
         decision.instance = choice.target->listed.instance;
-        const bool suspect = choice.failing > pool.limits.quarantineAbove;
-        decision.unusualAfter = request.idempotent && suspect ? Duration::zero() : quantile(profileOf(pool, request.workload), unusualQuantile);
+        decision.unusualAfter = doubtedAfter(pool.model, profileOf(pool, request.workload), choice.failing);
         decision.failing = choice.failing;
         decision.inFlight = usedSlots(*choice.target);
         decision.waiting = pool.waiting.size();
@@ -355,7 +352,8 @@
         again.key = request.key;
         again.label = request.label;
         again.instance = running->second;
-        again.unusualAfter = quantile(profileOf(pool, request.workload), unusualQuantile);
+        if (const auto target = pool.targets.find(running->second); target != pool.targets.end())
+            again.unusualAfter = doubtedAfter(pool.model, profileOf(pool, request.workload), failing(pool, target->second, now));
         return { again };
     }
     if (waits(pool, request.key))
--- a/packages/grants/tests/unit-belief.cpp
+++ b/packages/grants/tests/unit-belief.cpp
@@ -126,3 +126,23 @@
         recordLatency(profile, milliseconds(500));
     CHECK(quantile(profile, 0.1) == milliseconds(500));
 }
+
+TEST(Belief, DoubtsATargetTheSoonerTheLessItWasTrusted)
+{
+    const BeliefModel model;
+    LatencyProfile profile;
+    for (int count = 1; count <= 50; ++count)
+        recordLatency(profile, milliseconds(10 * count));
+    Duration before = doubtedAfter(model, profile, 0.005);
+    CHECK(before >= milliseconds(450));
+    for (const double failing : { 0.05, 0.15, 0.3, 0.5 }) {
+        const Duration after = doubtedAfter(model, profile, failing);
+        CHECK(after < before);
+        // Then it is about as likely to fail as not.
+        const double then = updated(failing, pendingRatio(model, profile, after));
+        CHECK(then > 0.4 && then < 0.62);
+        before = after;
+    }
+    CHECK(doubtedAfter(model, profile, 0.6) == Duration::zero());
+    CHECK(doubtedAfter(model, profile, 1) == Duration::zero());
+}
