Ask the group in which more idle connections are held

Cause (grown sites: 7 of 10 requests opened a connection): groups were drawn at random, and of the idle connections only the first twelve of the whole service were named, most of them in other groups. Of two groups drawn, the one with more idle connections is asked now.

--- a/packages/proxy/src/RequestCourse.cpp
+++ b/packages/proxy/src/RequestCourse.cpp
@@ -27,6 +27,7 @@
     constexpr Duration leastAttempt { milliseconds(20) };
     // Pause before a further attempt is asked for again beside one that is late.
     constexpr Duration hedgeRetry { milliseconds(60) };
+    // Idle connections named in a question, which has to fit a datagram.
     constexpr std::size_t maxWarmNamed = 12;
     constexpr std::size_t maxGroupsTried = 3;
 
@@ -99,12 +100,30 @@
     for (const auto& [instance, known] : this->context.directory.entries) {
         if (known.entry.service == this->service && !known.entry.target.leaving && this->context.links.hasIdle(instance, this->route.idempotent))
             warm.push_back(instance);
-        if (warm.size() >= maxWarmNamed)
-            break;
     }
     return warm;
 }
 
+// Returns, of two groups at random, the one with more idle connections. Groups that refused this request
+// are passed over, as long as there is another.
+unsigned RequestCourse::chooseGroup(std::span<const std::string> warm, unsigned count) const
+{
+    std::vector<unsigned> open;
+    for (unsigned index = 0; index < count; ++index) {
+        if (std::find(this->refusedGroups.begin(), this->refusedGroups.end(), groupName({ this->service, index, count })) == this->refusedGroups.end())
+            open.push_back(index);
+    }
+    if (open.empty())
+        return static_cast<unsigned>(this->entry.random() % count);
+    const unsigned first = open[this->entry.random() % open.size()];
+    const unsigned second = open[this->entry.random() % open.size()];
+    const auto warmIn = [&](unsigned index) {
+        const TargetGroup group { this->service, index, count };
+        return std::count_if(warm.begin(), warm.end(), [&group](const std::string& instance) { return inGroup(group, instance); });
+    };
+    return warmIn(second) > warmIn(first) ? second : first;
+}
+
 unsigned RequestCourse::groupTotal() const
 {
     return groupCount(countTargets(this->context.directory, this->service));
@@ -115,12 +134,11 @@
     const unsigned count = this->groupTotal();
     Question next;
     next.number = this->entry.nextNumber();
-    const auto index = static_cast<unsigned>(this->entry.random() % count);
-    for (unsigned step = 0; step < count; ++step) {
-        next.group = groupName({ this->service, (index + step) % count, count });
-        if (std::find(this->refusedGroups.begin(), this->refusedGroups.end(), next.group) == this->refusedGroups.end())
-            break;
-    }
+    next.warm = this->warmInstances();
+    const TargetGroup group { this->service, this->chooseGroup(next.warm, count), count };
+    std::erase_if(next.warm, [&group](const std::string& instance) { return !inGroup(group, instance); });
+    next.warm.resize(std::min(next.warm.size(), maxWarmNamed));
+    next.group = groupName(group);
     next.dispatchers = dispatchersOf(this->context.fleet, next.group);
     next.repeat = repeat;
     next.since = Clock::now();
@@ -151,7 +169,7 @@
     request.objective = this->route.objective;
     request.failureDomain = this->context.settings.failureDomain;
     request.avoid = this->tried;
-    request.warm = this->warmInstances();
+    request.warm = this->asked->warm;
     return message;
 }
 
--- a/packages/proxy/src/RequestCourse.h
+++ b/packages/proxy/src/RequestCourse.h
@@ -3,6 +3,7 @@
 #include "flamingowick/proxy/Entry.h"
 
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
     struct Question {
         std::uint64_t number { 0 };
         std::string group;
+        // Targets of the group to which this daemon holds an idle connection.
+        std::vector<std::string> warm;
         std::vector<std::string> dispatchers;
         std::size_t index { 0 };
         unsigned tries { 0 };
@@ -69,6 +72,7 @@
     void planTimer();
     std::string requestBytes(const std::string& instance);
     std::vector<std::string> warmInstances() const;
+    unsigned chooseGroup(std::span<const std::string> warm, unsigned count) const;
 
     Entry& entry;
     EntryContext& context;
