--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -115,7 +115,7 @@
     double soundCoverageShare { 0.85 };
     // Above this share of requests that were lost of late, verdicts are doubted: all targets get a request
     // within each window.
-    double doubtAbove { 0.1 };
+    double doubtAbove { 0.07 };
     Duration coverageWindow { std::chrono::milliseconds(1850) };
 };
 
