Try a queue once for each answer, and refuse early what can't be served

What finds no target for one request finds none for the others of its kind. Requests that wait are refused once half the expected wait is longer than what is left to them, not at their last moment. The test of that failed before.

--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -3,6 +3,7 @@
 #include "flamingowick/model/StableHash.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <tuple>
 
@@ -35,6 +36,8 @@
     // Share of answers by whose time a request that waits should finish within its objective.
     constexpr double timelyQuantile = 0.7;
     constexpr int leastWaitPart = 4;
+    // A waiting request is given up once even this part of the expected wait is too long: the pace varies.
+    constexpr int hopelessWaitPart = 2;
     constexpr Duration leastRetryAfter { milliseconds(100) };
 
     unsigned usedSlots(const PooledTarget& target) noexcept { return static_cast<unsigned>(target.inFlight.size()); }
@@ -158,8 +161,18 @@
         return sound.target || leftToOthers || (!doubtful && reaches(pool.limits.coverageShare)) ? Choice {} : suspect;
     }
 
+    bool hasFreeSlot(const TargetPool& pool)
+    {
+        return std::any_of(pool.targets.begin(), pool.targets.end(), [](const auto& item) { return !item.second.listed.leaving && usedSlots(item.second) < item.second.listed.slots; });
+    }
+
     Choice choose(TargetPool& pool, const GrantRequest& request, TimePoint now)
     {
+        if (!hasFreeSlot(pool)) {
+            Choice none;
+            none.anyEligible = std::any_of(pool.targets.begin(), pool.targets.end(), [&request](const auto& item) { return !item.second.listed.leaving && !contains(request.avoid, item.first); });
+            return none;
+        }
         if (Choice untested = chooseForCoverage(pool, request, now); untested.target)
             return untested;
         Choice choice;
@@ -230,17 +243,27 @@
         releases.at = now;
     }
 
-    // How long until the given number of waiting requests has been served: by the pace at which slots
-    // became free of late, or by the usual latency while little is known of that.
-    Duration expectedWait(const TargetPool& pool, std::size_t ahead, unsigned slots, TimePoint now)
+    // Slots that become free in a second: by the pace of late, or by the usual latency while little is
+    // known of that.
+    double expectedPace(const TargetPool& pool, unsigned slots, TimePoint now)
     {
         const double typical = std::chrono::duration<double>(quantile(pool.latency, 0.5)).count();
         const double undisturbed = std::max(1U, slots) / std::max(typical, 1e-3);
         const double saturated = pool.saturatedSince ? std::chrono::duration<double>(now - *pool.saturatedSince).count() : 0;
         const double trust = 1 - std::exp(-saturated / releaseMemorySeconds);
         const double observed = std::max(currentRate(pool.releases, now), undisturbed * leastPaceShare);
-        const double rate = trust * observed + (1 - trust) * undisturbed;
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((static_cast<double>(ahead) + 1) / rate));
+        return trust * observed + (1 - trust) * undisturbed;
+    }
+
+    // How long until the given number of waiting requests has been served.
+    Duration waitAtPace(double pace, std::size_t ahead)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((static_cast<double>(ahead) + 1) / pace));
+    }
+
+    Duration expectedWait(const TargetPool& pool, std::size_t ahead, unsigned slots, TimePoint now)
+    {
+        return waitAtPace(expectedPace(pool, slots, now), ahead);
     }
 
     // The last moment at which a waiting request is still worth sending.
@@ -260,9 +283,15 @@
     std::vector<Decision> serveWaiting(TargetPool& pool, TimePoint now)
     {
         std::vector<Decision> decisions;
-        for (auto waiting = pool.waiting.begin(); waiting != pool.waiting.end();) {
-            const Choice choice = choose(pool, waiting->second.request, now);
+        // What finds no target for one request finds none for the others of its kind. Under overload this is
+        // called for each answer, with hundreds waiting.
+        std::array<bool, 2> noTargetFor { false, false };
+        for (auto waiting = pool.waiting.begin(); waiting != pool.waiting.end() && !(noTargetFor[0] && noTargetFor[1]);) {
+            const GrantRequest& request = waiting->second.request;
+            bool& noTarget = noTargetFor.at(request.idempotent ? 1 : 0);
+            const Choice choice = noTarget ? Choice {} : choose(pool, request, now);
             if (!choice.target) {
+                noTarget = noTarget || request.avoid.empty();
                 ++waiting;
                 continue;
             }
@@ -445,10 +474,21 @@
         pool.attempts.erase(key);
     }
     std::vector<Decision> decisions = serveWaiting(pool, now);
+    if (pool.waiting.empty())
+        return decisions;
     const unsigned slots = eligibleSlots(pool, now);
+    const double pace = expectedPace(pool, slots, now);
+    std::map<std::uint64_t, Duration> usual;
+    std::size_t ahead = 0;
     for (auto waiting = pool.waiting.begin(); waiting != pool.waiting.end();) {
-        if (lastUsefulStart(pool, waiting->second.request) > now) {
+        const GrantRequest& request = waiting->second.request;
+        const auto [known, isNew] = usual.try_emplace(request.workload);
+        if (isNew)
+            known->second = quantile(profileOf(pool, request.workload), servedQuantile);
+        const Duration left = request.deadline - known->second - now;
+        if (left > Duration::zero() && left > waitAtPace(pace, ahead) / hopelessWaitPart) {
             ++waiting;
+            ++ahead;
             continue;
         }
         const GrantRequest late = std::move(waiting->second.request);
--- a/packages/grants/tests/unit-pool.cpp
+++ b/packages/grants/tests/unit-pool.cpp
@@ -69,6 +69,26 @@
     CHECK_EQUAL(0, fixture.pool.waiting.size());
 }
 
+TEST(Pool, RefusesAWaitingRequestWhenTheQueueBeforeItHasGrownTooLong)
+{
+    fixture.list(1, 1);
+    fixture.learn(milliseconds(200));
+    fixture.ask(fixture.request(seconds(9)));
+    GrantRequest low = fixture.request(milliseconds(2500));
+    low.rank = 2;
+    CHECK_FALSE(fixture.ask(low).has_value());
+    for (int count = 0; count < 7; ++count)
+        fixture.ask(fixture.request(seconds(9)));
+    bool refused = false;
+    // Nothing becomes free; that it can't be served shows before its last moment, after 2.3 s.
+    for (int step = 0; step < 36 && !refused; ++step) {
+        fixture.now += milliseconds(50);
+        for (const Decision& decision : expire(fixture.pool, fixture.now))
+            refused = refused || (decision.key == low.key && decision.verdict == Verdict::Refused);
+    }
+    CHECK(refused);
+}
+
 TEST(Pool, RepeatsItsDecisionWhenAskedAgain)
 {
     fixture.list(3);
