Count the grace for lapsed targets from a relay's contact with the store

Relays now tell for how long they have been in touch, and the grace counts from there. The two tests failed before by what they name, which the directory did not have.

--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -23,8 +23,11 @@
     void setConfiguration(Configuration);
 
     // Takes in targets that were written and instances whose entries were removed. To be called once at
-    // the start even when there are none.
-    void changeTargets(std::span<const TargetEntry> written, std::span<const std::string> removed);
+    // the start even when there are none. inTouchFor as for changeEntries().
+    void changeTargets(std::span<const TargetEntry> written, std::span<const std::string> removed, Duration inTouchFor = Duration::zero());
+
+    // For how long this daemon has been in touch with the store without a break; since its start at most.
+    Duration storeInTouchFor() const;
 
     // The store gives no answers, or does again.
     void storeAway(std::string_view reason);
@@ -84,6 +87,7 @@
     TargetDirectory directory;
     bool targetsKnown { false };
     TimePoint targetsChangedAt;
+    TimePoint startedAt { Clock::now() };
     Fleet fleet;
     // Addresses of the entries whose requests this daemon dispatches, by sender.
     std::unordered_map<std::uint64_t, std::string> entries;
--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -39,8 +39,11 @@
 struct FeedPorts {
     // Starts or stops to watch the store. Called only when that changes.
     std::function<void(bool)> watchStore;
-    // The changes that have come, in any order; the cache holds them already.
-    std::function<void(StateKind, const std::vector<StateChange>&)> apply;
+    // The changes that have come, in any order; the cache holds them already. Tells for how long who told
+    // of them has been in touch with the store without a break; zero when that isn't known.
+    std::function<void(StateKind, const std::vector<StateChange>&, Duration inTouchFor)> apply;
+    // For how long this daemon has been in touch with the store without a break.
+    std::function<Duration()> inTouchFor;
     // A member did not answer.
     std::function<void(const std::string&)> silent;
 };
@@ -90,7 +93,7 @@
     void planHeld();
     void follow(const std::shared_ptr<Followed>&);
     void takeAnswer(const std::shared_ptr<Followed>&, const HttpReply&);
-    void applied(StateKind, const std::vector<StateChange>&);
+    void applied(StateKind, const std::vector<StateChange>&, Duration inTouchFor);
     Duration contactAge() const;
     void planReview();
 
--- a/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
@@ -63,8 +63,10 @@
 };
 
 // Takes in entries that were written, and instances whose entries were removed or can't be read any
-// more. An entry that said that it leaves stays so until its target starts anew.
-DirectoryChange changeEntries(TargetDirectory&, std::span<const TargetEntry> written, std::span<const std::string> removed, TimePoint now);
+// more. An entry that said that it leaves stays so until its target starts anew. Who tells of the changes
+// has been in touch with the store for the given time without a break, zero for unknown: the grace for
+// lapsed entries counts from then, even while this daemon itself can't reach the store.
+DirectoryChange changeEntries(TargetDirectory&, std::span<const TargetEntry> written, std::span<const std::string> removed, TimePoint now, Duration inTouchFor = Duration::zero());
 
 void noteStoreAway(TargetDirectory&);
 void noteStoreBack(TargetDirectory&, TimePoint now);
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -114,11 +114,18 @@
     this->planFlush();
 }
 
-void Proxy::changeTargets(std::span<const TargetEntry> written, std::span<const std::string> removed)
+Duration Proxy::storeInTouchFor() const
+{
+    if (this->directory.storeAway)
+        return Duration::zero();
+    return Clock::now() - std::max(this->startedAt, this->directory.storeAwayUntil.value_or(this->startedAt));
+}
+
+void Proxy::changeTargets(std::span<const TargetEntry> written, std::span<const std::string> removed, Duration inTouchFor)
 {
     this->targetsKnown = true;
     this->targetsChangedAt = Clock::now();
-    this->applyChange(changeEntries(this->directory, written, removed, Clock::now()));
+    this->applyChange(changeEntries(this->directory, written, removed, Clock::now(), inTouchFor));
 }
 
 void Proxy::applyChange(const DirectoryChange& change)
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -108,19 +108,19 @@
 
 void StateFeed::takeWhole(StateKind kind, std::uint64_t revision, std::span<const StateObject> objects)
 {
-    this->applied(kind, proxy::takeWhole(this->caches.at(static_cast<std::size_t>(kind)), revision, objects));
+    this->applied(kind, proxy::takeWhole(this->caches.at(static_cast<std::size_t>(kind)), revision, objects), Duration::zero());
 }
 
 void StateFeed::takeChanges(StateKind kind, std::uint64_t revision, std::span<const StateChange> changes)
 {
-    this->applied(kind, proxy::takeChanges(this->caches.at(static_cast<std::size_t>(kind)), revision, changes));
+    this->applied(kind, proxy::takeChanges(this->caches.at(static_cast<std::size_t>(kind)), revision, changes), Duration::zero());
 }
 
-void StateFeed::applied(StateKind kind, const std::vector<StateChange>& changes)
+void StateFeed::applied(StateKind kind, const std::vector<StateChange>& changes, Duration inTouchFor)
 {
     if (changes.empty())
         return;
-    this->ports.apply(kind, changes);
+    this->ports.apply(kind, changes, inTouchFor);
     this->answerHeld(false);
 }
 
@@ -163,6 +163,7 @@
 {
     wire::StateAnswer answer;
     answer.set_contact_age(static_cast<std::uint32_t>(std::min<std::int64_t>(std::chrono::duration_cast<milliseconds>(this->contactAge()).count(), 3'600'000)));
+    answer.set_in_touch_for(static_cast<std::uint32_t>(std::min<std::int64_t>(std::chrono::duration_cast<milliseconds>(this->ports.inTouchFor()).count(), 3'600'000)));
     for (std::size_t index = 0; index < kindNames.size(); ++index) {
         if (hasNews(this->caches.at(index), question.seen.at(index)))
             writeDelta(this->caches.at(index), allStateKinds.at(index), question.seen.at(index), answer);
@@ -291,10 +292,10 @@
                 else
                     changes.push_back({ { object.name(), object.revision(), object.payload() }, object.removed() });
             }
-            if (state.whole())
-                this->takeWhole(kind, state.revision(), objects);
-            else
-                this->takeChanges(kind, state.revision(), changes);
+            KindCache& cache = this->caches.at(state.kind());
+            const bool fresh = milliseconds(answer.contact_age()) < this->limits.contactLimit;
+            const Duration inTouchFor = fresh ? Duration(milliseconds(answer.in_touch_for())) : Duration::zero();
+            this->applied(kind, state.whole() ? proxy::takeWhole(cache, state.revision(), objects) : proxy::takeChanges(cache, state.revision(), changes), inTouchFor);
             pause = this->limits.newsPause;
         }
     } else {
--- a/packages/proxy/src/TargetDirectory.cpp
+++ b/packages/proxy/src/TargetDirectory.cpp
@@ -14,11 +14,12 @@
     }
 
     // Until when a target whose entry has just vanished is used; none when it is gone.
-    std::optional<TimePoint> graceOf(const TargetDirectory& directory, std::string_view service, TimePoint now)
+    std::optional<TimePoint> graceOf(const TargetDirectory& directory, std::string_view service, TimePoint now, Duration inTouchFor)
     {
-        if (directory.storeAway)
-            return TimePoint::max();
-        if (directory.storeAwayUntil && now < *directory.storeAwayUntil + directory.limits.lapseGrace)
+        const bool mayHaveLapsed = inTouchFor <= directory.limits.lapseGrace;
+        if (mayHaveLapsed && directory.storeAway)
+            return inTouchFor > Duration::zero() ? now + directory.limits.lapseGrace - inTouchFor : TimePoint::max();
+        if (mayHaveLapsed && directory.storeAwayUntil && now < *directory.storeAwayUntil + directory.limits.lapseGrace)
             return *directory.storeAwayUntil + directory.limits.lapseGrace;
         if (isMassLoss(directory, service, now))
             return now + directory.limits.massLossGrace;
@@ -44,13 +45,13 @@
         directory.entries.insert_or_assign(entry.target.instance, std::move(next));
     }
 
-    void removeEntry(TargetDirectory& directory, std::string_view instance, TimePoint now, DirectoryChange& change)
+    void removeEntry(TargetDirectory& directory, std::string_view instance, TimePoint now, Duration inTouchFor, DirectoryChange& change)
     {
         const auto found = directory.entries.find(instance);
         if (found == directory.entries.end())
             return;
         const std::string service = found->second.entry.service;
-        const std::optional<TimePoint> grace = found->second.entry.target.leaving ? std::nullopt : graceOf(directory, service, now);
+        const std::optional<TimePoint> grace = found->second.entry.target.leaving ? std::nullopt : graceOf(directory, service, now, inTouchFor);
         if (grace) {
             if (!found->second.keptUntil || *found->second.keptUntil == TimePoint::max())
                 found->second.keptUntil = grace;
@@ -64,7 +65,7 @@
 
 }
 
-DirectoryChange changeEntries(TargetDirectory& directory, std::span<const TargetEntry> written, std::span<const std::string> removed, TimePoint now)
+DirectoryChange changeEntries(TargetDirectory& directory, std::span<const TargetEntry> written, std::span<const std::string> removed, TimePoint now, Duration inTouchFor)
 {
     DirectoryChange change;
     directory.removals.erase(directory.removals.begin(), directory.removals.lower_bound(now - directory.limits.massLossSpan));
@@ -75,7 +76,7 @@
             directory.removals.emplace(now, known->second.entry.service);
     }
     for (const std::string& instance : removed)
-        removeEntry(directory, instance, now, change);
+        removeEntry(directory, instance, now, inTouchFor, change);
     for (const TargetEntry& entry : written)
         putEntry(directory, entry, change);
     return change;
@@ -93,7 +94,7 @@
     directory.storeAway = false;
     directory.storeAwayUntil = now;
     for (auto& [instance, known] : directory.entries) {
-        if (known.keptUntil)
+        if (known.keptUntil == TimePoint::max())
             known.keptUntil = now + directory.limits.lapseGrace;
     }
 }
--- a/packages/proxy/tests/unit-parts.cpp
+++ b/packages/proxy/tests/unit-parts.cpp
@@ -102,6 +102,27 @@
     CHECK_EQUAL(1, expireEntries(directory, now).gone.size());
 }
 
+TEST(Directory, AnEntryIsGoneForWhomAnotherDaemonKeptInTouchWithTheStore)
+{
+    fill(6);
+    noteStoreAway(directory);
+    CHECK_EQUAL(1, changeEntries(directory, {}, std::vector<std::string> { "t4" }, now, seconds(5)).gone.size());
+    CHECK_FALSE(takesRequests(directory, "t4"));
+}
+
+TEST(Directory, TheGraceForLapsedEntriesCountsFromWhenAnotherDaemonRegainedTheStore)
+{
+    fill(6);
+    noteStoreAway(directory);
+    CHECK_EQUAL(0, changeEntries(directory, {}, std::vector<std::string> { "t3" }, now, seconds(1)).gone.size());
+    now += seconds(1);
+    // This daemon reaches the store a little later.
+    noteStoreBack(directory, now);
+    CHECK(takesRequests(directory, "t3"));
+    now += milliseconds(400);
+    CHECK_EQUAL(1, expireEntries(directory, now).gone.size());
+}
+
 TEST(Directory, AnEntryThatComesBackInTimeIsKept)
 {
     fill(6);
