--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -199,9 +199,6 @@
 // attempts whose end was never reported. Linear in the waiting requests and attempts.
 std::vector<Decision> expire(TargetPool&, TimePoint now);
 
-// Returns when expire() is due, none while nothing waits. Linear in the waiting requests.
-std::optional<TimePoint> nextExpiry(const TargetPool&);
-
 // Returns the probability that a target is failing, its attempts in flight included. Linear in these.
 double failing(const TargetPool&, const PooledTarget&, TimePoint now);
 
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -502,15 +502,4 @@
     return decisions;
 }
 
-std::optional<TimePoint> nextExpiry(const TargetPool& pool)
-{
-    std::optional<TimePoint> next;
-    for (const auto& [rank, waiting] : pool.waiting) {
-        const TimePoint due = lastUsefulStart(pool, waiting.request);
-        if (!next || due < *next)
-            next = due;
-    }
-    return next;
-}
-
 }
--- a/packages/keys/src/EntrySide.cpp
+++ b/packages/keys/src/EntrySide.cpp
@@ -63,7 +63,7 @@
         context.actions.emplace_back(ReadRecord { id });
     }
 
-    // Returns the requests that wait for an owner of the range in this epoch or a later one.
+    // Returns the requests that wait for an owner of the range and were sent to none later than the epoch.
     std::vector<RequestId> waitingFor(const State& state, const RangeId& id, std::uint64_t epoch)
     {
         std::vector<RequestId> waiting;
@@ -75,6 +75,7 @@
         return waiting;
     }
 
+    // Sends them to the owner that is known now.
     void forwardWaiting(Context& context, const RangeId& id, std::uint64_t epoch)
     {
         const RangeRecord& view = context.state.entry.views.at(id);
--- a/packages/keys/src/Ownership.cpp
+++ b/packages/keys/src/Ownership.cpp
@@ -55,11 +55,13 @@
             acceptRecord(context, holding, record);
             return;
         }
-        bool takeable = !ours && !stale && state.policy.mayTakeOver(record, evidenceOf(state, record.owner, context.now));
         if (record.epoch < holding.announcedEpoch) {
             // The store answered before the announced record was written.
             startReading(context, record.id, holding);
-        } else if (takeable)
+            return;
+        }
+        bool takeable = !ours && !stale && state.policy.mayTakeOver(record, evidenceOf(state, record.owner, context.now));
+        if (takeable)
             propose(context, record.id, holding, &record);
         else
             holding.status = HoldingStatus::Idle;
--- a/packages/platform/src/Wire.cpp
+++ b/packages/platform/src/Wire.cpp
@@ -1,9 +1,10 @@
 #include "flamingowick/platform/detail/Wire.h"
 
+#include "flamingowick/model/TextForms.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
-#include <cctype>
 
 namespace flamingowick::platform::detail {
 
@@ -25,23 +26,6 @@
         return kinds.at(static_cast<std::size_t>(plural));
     }
 
-    std::string encodePercent(std::string_view text)
-    {
-        constexpr std::string_view digits = "0123456789ABCDEF";
-        std::string encoded;
-        for (const char character : text) {
-            const auto byte = static_cast<unsigned char>(character);
-            if (std::isalnum(byte) != 0 || character == '-' || character == '.' || character == '_' || character == '~') {
-                encoded.push_back(character);
-                continue;
-            }
-            encoded.push_back('%');
-            encoded.push_back(digits[byte >> 4U]);
-            encoded.push_back(digits[byte & 15U]);
-        }
-        return encoded;
-    }
-
     // Returns the member as text; empty when it is absent or no string.
     std::string textOf(const json& object, std::string_view name)
     {
--- a/packages/proxy/src/ProxySettingsText.cpp
+++ b/packages/proxy/src/ProxySettingsText.cpp
@@ -1,10 +1,10 @@
 #include "flamingowick/proxy/ProxySettingsText.h"
 
+#include "flamingowick/model/TextForms.h"
 #include "flamingowick/settings/detail/FieldReader.h"
 #include "flamingowick/settings/detail/JsonParser.h"
 #include "flamingowick/settings/detail/TextRules.h"
 
-#include <charconv>
 #include <optional>
 
 namespace flamingowick::proxy {
@@ -20,16 +20,8 @@
     // Durations such as "6s" and "1500ms".
     std::optional<Duration> durationOf(std::string_view text)
     {
-        double number = 0;
-        const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
-        const std::string_view unit = text.substr(static_cast<std::size_t>(result.ptr - text.data()));
-        if (result.ec != std::errc() || number < 0 || number > 1e6)
-            return std::nullopt;
-        if (unit == "ms")
-            return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(number));
-        if (unit == "s")
-            return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(number));
-        return std::nullopt;
+        constexpr double greatestNumber = 1e6;
+        return parseDuration(text, greatestNumber);
     }
 
     std::string_view checkDuration(std::string_view text) noexcept
--- a/packages/proxy/src/RequestCourse.cpp
+++ b/packages/proxy/src/RequestCourse.cpp
@@ -110,7 +110,8 @@
 {
     std::vector<unsigned> open;
     for (unsigned index = 0; index < count; ++index) {
-        if (std::find(this->refusedGroups.begin(), this->refusedGroups.end(), groupName({ this->service, index, count })) == this->refusedGroups.end())
+        // The first question finds none refused, and needs no names.
+        if (this->refusedGroups.empty() || std::find(this->refusedGroups.begin(), this->refusedGroups.end(), groupName({ this->service, index, count })) == this->refusedGroups.end())
             open.push_back(index);
     }
     if (open.empty())
