Show in logs when one request comes again under another ID

No line let an engineer recognise that two request IDs carry the same request, so a request that callers send again and again could not be told from many different ones. The routed line now has the fingerprint: a digest of method, host, path and body. flamingowick_repeated_sends_total counts sends after a request's first for each service, to compare with its retry budget.

The digest is the one of the product's own interface, with its parts as parameters; its values are unchanged.

--- a/packages/model/include/flamingowick/model/Request.h
+++ b/packages/model/include/flamingowick/model/Request.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 // Requests and answers as they travel through the fleet.
@@ -54,6 +55,10 @@
 // body and caller, not the headers. Linear in the size of the request; never throws.
 std::uint64_t requestDigest(const Request&) noexcept;
 
+// The same for a request that is not held as a Request. The scope is the service or host within which paths are told
+// apart; the caller is empty where requests of all callers count as the same. Linear in the texts; never throws.
+std::uint64_t requestDigest(std::string_view scope, std::string_view method, std::string_view path, std::string_view caller, std::string_view body) noexcept;
+
 // Makes an answer of the fleet's own, with an RFC 9457 problem body. May throw std::bad_alloc.
 Answer makeProblem(unsigned status, Outcome, std::string_view reason, std::chrono::seconds retryAfter);
 
--- a/packages/model/src/Request.cpp
+++ b/packages/model/src/Request.cpp
@@ -6,11 +6,16 @@
 
 std::uint64_t requestDigest(const Request& request) noexcept
 {
-    std::uint64_t digest = stableHash(request.service);
-    digest = combineHashes(digest, stableHash(request.method));
-    digest = combineHashes(digest, stableHash(request.path));
-    digest = combineHashes(digest, stableHash(request.caller));
-    return combineHashes(digest, stableHash(request.body));
+    return requestDigest(request.service, request.method, request.path, request.caller, request.body);
+}
+
+std::uint64_t requestDigest(std::string_view scope, std::string_view method, std::string_view path, std::string_view caller, std::string_view body) noexcept
+{
+    std::uint64_t digest = stableHash(scope);
+    digest = combineHashes(digest, stableHash(method));
+    digest = combineHashes(digest, stableHash(path));
+    digest = combineHashes(digest, stableHash(caller));
+    return combineHashes(digest, stableHash(body));
 }
 
 Answer makeProblem(unsigned status, Outcome outcome, std::string_view reason, std::chrono::seconds retryAfter)
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -3,6 +3,7 @@
 #include "flamingowick/model/StableHash.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace flamingowick::proxy {
@@ -67,6 +68,23 @@
         return std::to_string(count / 1000) + fraction;
     }
 
+    // Excludes the service, because the configuration may lead a request to another one when it comes again, and the
+    // caller, because its address may differ then.
+    std::uint64_t fingerprintOf(const HttpMessage& request)
+    {
+        return requestDigest(headerValue(request, "host"), request.method, request.target, {}, request.body);
+    }
+
+    // Returns 16 hexadecimal digits.
+    std::string fingerprintText(std::uint64_t fingerprint)
+    {
+        std::string text(16, '0');
+        std::array<char, 16> digits {};
+        const auto result = std::to_chars(digits.data(), digits.data() + digits.size(), fingerprint, 16);
+        std::copy(digits.data(), result.ptr, text.end() - (result.ptr - digits.data()));
+        return text;
+    }
+
     std::string serviceLabel(std::string_view service)
     {
         return std::string("service=\"").append(service).append("\"");
@@ -82,6 +100,7 @@
     , route(chosen)
     , service(std::move(chosenService))
     , requestId(headerValue(this->caller->request(), this->context.settings.headers.requestId))
+    , fingerprint(fingerprintOf(this->caller->request()))
     , receivedAt(this->caller->requestStartedAt())
     , workload(static_cast<std::uint32_t>(stableHash(this->route.name)))
     , timer(this->context.io)
@@ -95,7 +114,7 @@
     this->caller->onDisconnect = [self = this->shared_from_this()] { self->handleCallerDisconnect(); };
     const TimePoint now = Clock::now();
     this->context.log.write(EventScope::Request, "entry", "routed",
-        EventFields().text("request", this->requestId).text("route", this->route.name).text("service", this->service).number("configuration", static_cast<std::int64_t>(this->configuration->configuration.version)).milliseconds("configurationAgeMs", now - this->configuration->appliedAt).milliseconds("leftMs", this->deadline - now));
+        EventFields().text("request", this->requestId).text("fingerprint", fingerprintText(this->fingerprint)).text("route", this->route.name).text("service", this->service).number("configuration", static_cast<std::int64_t>(this->configuration->configuration.version)).milliseconds("configurationAgeMs", now - this->configuration->appliedAt).milliseconds("leftMs", this->deadline - now));
     if (this->deadline - now < minAttemptTime) {
         this->respondWithError(503, "no-time", milliseconds(0));
         return;
@@ -304,6 +323,8 @@
     attempt.startedAt = now;
     this->triedInstances.push_back(decision.instance);
     ++this->sentCount;
+    if (this->sentCount > 1)
+        this->context.metrics.increment("flamingowick_repeated_sends_total", serviceLabel(this->service));
     this->context.log.write(EventScope::Request, "entry", "sent",
         EventFields().text("request", this->requestId).text("target", decision.instance).text("address", spec.address).text("dispatcher", dispatcher).real("failing", decision.failureProbability).number("inFlight", decision.inFlight).number("waiting", static_cast<std::int64_t>(decision.queueLength)).number("attempt", this->sentCount).milliseconds("ageMs", now - this->receivedAt));
     const std::uint64_t number = attempt.number;
--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -102,6 +102,8 @@
     const Route& route;
     std::string service;
     std::string requestId;
+    // Equal for all requests with this content, whatever their IDs.
+    std::uint64_t fingerprint { 0 };
     TimePoint receivedAt;
     TimePoint deadline;
     // Hash of the route's name.
--- a/packages/proxy/tests/unit-log-lines.cpp
+++ b/packages/proxy/tests/unit-log-lines.cpp
@@ -77,7 +77,7 @@
     testBed.addTarget([](const HttpMessage& received) { return ScriptedTarget::healthyResponse(received); });
     testBed.start(1, false);
     serve(makeRequest("r1", "POST", "x"));
-    const auto routed = lineOf("entry", "routed", { "request", "route", "service", "configuration", "configurationAgeMs", "leftMs" });
+    const auto routed = lineOf("entry", "routed", { "request", "fingerprint", "route", "service", "configuration", "configurationAgeMs", "leftMs" });
     CHECK_EQUAL(std::string("r1"), routed.at("request").get<std::string>());
     lineOf("dispatch", "granted", { "request", "target", "failing", "inFlight", "waiting", "targetsAgeMs" });
     lineOf("entry", "sent", { "request", "target", "address", "dispatcher", "failing", "inFlight", "waiting", "attempt", "ageMs" });
