Reproduce requests that crash target after target

Callers saw: a request under which three targets had crashed went on crashing others each time it came again.

--- a/packages/proxy/tests/ProxyTestBed.h
+++ b/packages/proxy/tests/ProxyTestBed.h
@@ -34,13 +34,16 @@
     using Script = std::function<std::optional<std::string>(const HttpMessage& request)>;
 
     ScriptedTarget(asio::io_context& io, Script responseScript)
-        : acceptor(io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        : context(io)
+        , acceptor(io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , endpoint(this->acceptor.local_endpoint())
+        , restartTimer(io)
         , script(std::move(responseScript))
     {
         this->accept();
     }
 
-    std::string address() const { return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()); }
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->endpoint.port()); }
 
     // Returns the response of a healthy target.
     static std::string healthyResponse(const HttpMessage& request, std::string_view body = "fine", std::string_view extraHeaders = "")
@@ -55,6 +58,11 @@
     bool closeAfterResponse { false };
     // Whether to reset the connection instead of answering.
     bool resetInsteadOfResponse { false };
+    // A request whose body contains this crashes the target; empty for none.
+    std::string crashMark;
+    // How long a crashed target refuses connections.
+    Duration crashDowntime { milliseconds(50) };
+    unsigned crashes { 0 };
 
 private:
     struct Connection : std::enable_shared_from_this<Connection> {
@@ -84,9 +92,13 @@
         void respond()
         {
             this->owner.requests.push_back(this->reader.message());
+            const std::string& mark = this->owner.crashMark;
+            if (!mark.empty() && this->reader.message().body.find(mark) != std::string::npos) {
+                this->owner.crash();
+                return;
+            }
             if (this->owner.resetInsteadOfResponse) {
-                this->socket.set_option(asio::socket_base::linger(true, 0));
-                this->socket.close();
+                this->reset();
                 return;
             }
             const std::optional<std::string> bytes = this->owner.script(this->reader.message());
@@ -98,6 +110,12 @@
                 this->socket.shutdown(asio::ip::tcp::socket::shutdown_send);
         }
 
+        void reset()
+        {
+            this->socket.set_option(asio::socket_base::linger(true, 0));
+            this->socket.close();
+        }
+
         ScriptedTarget& owner;
         asio::ip::tcp::socket socket;
         MessageReader reader { MessageReader::Kind::Requests, {} };
@@ -110,12 +128,37 @@
             if (error)
                 return;
             ++this->connections;
-            std::make_shared<Connection>(*this, std::move(socket))->read();
+            const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+            this->openConnections.push_back(connection);
+            connection->read();
+            this->accept();
+        });
+    }
+
+    // Resets all connections and refuses new ones for the downtime.
+    void crash()
+    {
+        ++this->crashes;
+        this->acceptor.close();
+        for (const std::weak_ptr<Connection>& item : this->openConnections) {
+            if (const std::shared_ptr<Connection> connection = item.lock(); connection && connection->socket.is_open())
+                connection->reset();
+        }
+        this->openConnections.clear();
+        this->restartTimer.expires_after(this->crashDowntime);
+        this->restartTimer.async_wait([this](const asio::error_code& error) {
+            if (error)
+                return;
+            this->acceptor = asio::ip::tcp::acceptor(this->context, this->endpoint);
             this->accept();
         });
     }
 
+    asio::io_context& context;
     asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::endpoint endpoint;
+    Timer restartTimer;
+    std::vector<std::weak_ptr<Connection>> openConnections;
     Script script;
 };
 
@@ -237,6 +280,13 @@
             this->io.run_one_for(milliseconds(20));
         return condition();
     }
+
+    void runFor(Duration time)
+    {
+        const TimePoint end = Clock::now() + time;
+        while (Clock::now() < end)
+            this->io.run_one_for(milliseconds(5));
+    }
 };
 
 inline std::string makeRequest(std::string_view id, std::string_view method = "GET", std::string_view body = "", std::string_view timeLeftMs = "5000")
