Move the crash ledger into a package of its own

The data path on the users' platform needs what the dispatcher of the product's own interface already has: the count of targets that a request has crashed, and its refusal. The ledger and its two messages move unchanged into the package quarantine, which both use; release() is new, for refusals that an operator ends.

--- a/packages/dispatch/include/flamingowick/dispatch/Messages.h
+++ b/packages/dispatch/include/flamingowick/dispatch/Messages.h
@@ -5,6 +5,7 @@
 #include "flamingowick/model/Outcome.h"
 #include "flamingowick/model/ServiceDocument.h"
 #include "flamingowick/model/Target.h"
+#include "flamingowick/quarantine/CrashLedger.h"
 
 #include <cstdint>
 #include <optional>
@@ -110,17 +111,8 @@
     TimePoint validUntil;
 };
 
-// A request may have crashed a target. Sent to peers and received from them; a duplicate report counts once.
-struct CrashReport {
-    std::uint64_t fingerprint { 0 };
-    TargetAddress target;
-};
-
-// A request fingerprint that is refused for the remaining duration. Sent to peers and received from them.
-struct QuarantineNotice {
-    std::uint64_t fingerprint { 0 };
-    Duration remaining { 0 };
-};
+using quarantine::CrashReport;
+using quarantine::QuarantineNotice;
 
 struct UpdateDocument {
     ServiceDocument document;
--- a/packages/dispatch/include/flamingowick/dispatch/Policy.h
+++ b/packages/dispatch/include/flamingowick/dispatch/Policy.h
@@ -1,15 +1,17 @@
 #pragma once
 
-#include "flamingowick/dispatch/CrashLedger.h"
 #include "flamingowick/dispatch/Fairness.h"
 #include "flamingowick/dispatch/RetryBudget.h"
 #include "flamingowick/dispatch/Slots.h"
 #include "flamingowick/dispatch/TargetChoice.h"
+#include "flamingowick/quarantine/CrashLedger.h"
 
 // The replaceable decisions of a dispatcher. The defaults are those used in production; tests and benchmarks replace
 // them.
 namespace flamingowick::dispatch {
 
+using quarantine::CrashLedger;
+
 // Returns whether an attempt with this result certainly did not run the request. Never throws.
 bool certainlyNotRun(AttemptKind) noexcept;
 
@@ -32,8 +34,8 @@
     CallerRank (*rankCaller)(const CallerLoad&) { rankByVirtualTime };
     std::string_view (*displace)(const WaitQueue&) { displaceLongest };
     bool (*takeRetry)(RetryBudget&) { dispatch::takeRetry };
-    std::optional<TimePoint> (*refusal)(const CrashLedger&, std::uint64_t fingerprint, TimePoint now) { dispatch::refusal };
-    std::size_t (*crashCount)(const CrashLedger&, std::uint64_t fingerprint, const CrashPolicy&, TimePoint now) { dispatch::crashCount };
+    std::optional<TimePoint> (*refusal)(const CrashLedger&, std::uint64_t fingerprint, TimePoint now) { quarantine::refusal };
+    std::size_t (*crashCount)(const CrashLedger&, std::uint64_t fingerprint, const CrashPolicy&, TimePoint now) { quarantine::crashCount };
 };
 
 }
--- a/packages/dispatch/include/flamingowick/dispatch/CrashLedger.h
+++ b/packages/quarantine/include/flamingowick/quarantine/CrashLedger.h
@@ -1,13 +1,28 @@
 #pragma once
 
-#include "flamingowick/dispatch/Messages.h"
+#include "flamingowick/model/Clock.h"
+#include "flamingowick/model/Identifiers.h"
+#include "flamingowick/model/ServiceDocument.h"
 
+#include <cstdint>
 #include <map>
-#include <vector>
+#include <optional>
 
 // Detects requests that crash the targets which run them, and refuses them for a limited time. A request is identified
 // by its fingerprint: a digest of the request or of its idempotency key.
-namespace flamingowick::dispatch {
+namespace flamingowick::quarantine {
+
+// A request may have crashed a target. Sent to peers and received from them; a duplicate report counts once.
+struct CrashReport {
+    std::uint64_t fingerprint { 0 };
+    TargetAddress target;
+};
+
+// A request fingerprint that is refused for the remaining duration. Sent to peers and received from them.
+struct QuarantineNotice {
+    std::uint64_t fingerprint { 0 };
+    Duration remaining { 0 };
+};
 
 struct CrashLedger {
     struct Suspect {
@@ -35,6 +50,9 @@
 // refusal that expires first is evicted.
 void refuse(CrashLedger&, std::uint64_t fingerprint, TimePoint until);
 
+// Ends the refusal of a fingerprint, and the suspicion against it.
+void release(CrashLedger&, std::uint64_t fingerprint);
+
 // Returns the time until which the fingerprint is refused, or nullopt if it is not refused. Logarithmic.
 std::optional<TimePoint> refusal(const CrashLedger&, std::uint64_t fingerprint, TimePoint now);
 
--- a/packages/dispatch/src/CrashLedger.cpp
+++ b/packages/quarantine/src/CrashLedger.cpp
@@ -1,8 +1,8 @@
-#include "flamingowick/dispatch/CrashLedger.h"
+#include "flamingowick/quarantine/CrashLedger.h"
 
 #include <algorithm>
 
-namespace flamingowick::dispatch {
+namespace flamingowick::quarantine {
 
 namespace {
 
@@ -58,6 +58,12 @@
         evictFirstExpiringRefusal(ledger);
 }
 
+void release(CrashLedger& ledger, std::uint64_t fingerprint)
+{
+    ledger.suspects.erase(fingerprint);
+    ledger.refusedUntil.erase(fingerprint);
+}
+
 std::optional<TimePoint> refusal(const CrashLedger& ledger, std::uint64_t fingerprint, TimePoint now)
 {
     auto found = ledger.refusedUntil.find(fingerprint);
