Refuse requests that crash their targets, over the whole fleet

Cause: the data path on the users' platform recognised a request only by its ID, which is new each time the caller sends it. The quarantine of the product's own interface was never moved to that path when dispatch was rebuilt there. The class of fault: protection against input that kills whatever handles it has to be keyed by the input's content and shared by all who handle it.

Change: an attempt whose connection ends without a response, at a target that then accepts no connection, is a crash. Three members count the crashes of a content, named by rendezvous hashing; at the third all members refuse it for ten minutes, and the refusal is stored, so that it outlasts all daemons. Dispatchers refuse grants for it as well. Relays send a follower only the kinds that it asks for, since an earlier release would poll without a pause.

Why it works: whichever daemon the request reaches, one of three independent ways tells it: the notice, the dispatcher, the store.

--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -75,6 +75,8 @@
     NoSlotInTime,
     // The retry budget is exhausted.
     RetryBudgetExhausted,
+    // The request crashes the targets that run it. Pools don't decide this; their owner does.
+    RequestQuarantined,
 };
 
 // Returns the reason's name in logs. Never throws.
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -346,6 +346,8 @@
         return "no-room";
     case RefusalReason::RetryBudgetExhausted:
         return "no-retry";
+    case RefusalReason::RequestQuarantined:
+        return "request-quarantined";
     }
     return "none";
 }
--- a/packages/proxy/include/flamingowick/proxy/Entry.h
+++ b/packages/proxy/include/flamingowick/proxy/Entry.h
@@ -5,6 +5,7 @@
 #include "flamingowick/proxy/DispatcherHost.h"
 #include "flamingowick/proxy/Fleet.h"
 #include "flamingowick/proxy/PeerLink.h"
+#include "flamingowick/proxy/RequestQuarantine.h"
 #include "flamingowick/proxy/TargetConnections.h"
 #include "flamingowick/proxy/TargetDirectory.h"
 #include "flamingowick/telemetry/EventLog.h"
@@ -40,6 +41,7 @@
     // Local pools, by which this daemon decides when it reaches no dispatcher.
     DispatcherHost& localPools;
     TargetConnections& links;
+    RequestQuarantine& quarantine;
     telemetry::EventLog& log;
     telemetry::Metrics& metrics;
     // Identifies this incarnation of the daemon.
--- a/packages/proxy/include/flamingowick/proxy/PeerLink.h
+++ b/packages/proxy/include/flamingowick/proxy/PeerLink.h
@@ -2,6 +2,7 @@
 
 #include "flamingowick/grants/TargetPool.h"
 #include "flamingowick/proxy/Sockets.h"
+#include "flamingowick/quarantine/CrashLedger.h"
 
 #include <functional>
 #include <map>
@@ -21,6 +22,8 @@
     // Group of targets that is requested: a service and the part of its targets.
     std::string group;
     grants::GrantRequest request;
+    // Digest of the request's content; 0 when unknown.
+    std::uint64_t fingerprint { 0 };
     // Time until the attempt's deadline when the message was sent.
     Duration timeLeft { 0 };
 };
@@ -59,6 +62,18 @@
     std::string failureDomain;
 };
 
+// A target crashed while it ran a request.
+struct CrashMessage {
+    quarantine::CrashReport report;
+    // Time from the start of the attempt.
+    Duration age { 0 };
+};
+
+// A target has answered a request that was suspected to crash targets.
+struct SurvivalMessage {
+    std::uint64_t fingerprint { 0 };
+};
+
 // Origin of a datagram.
 struct PeerSource {
     // Incarnation of the daemon: differs after each restart.
@@ -72,6 +87,9 @@
     std::function<void(const PeerSource&, const AttemptEndMessage&)> onAttemptEnd;
     std::function<void(const PeerSource&, const RunningAttemptMessage&)> onRunningAttempt;
     std::function<void(const PeerSource&, const PresenceMessage&)> onPresence;
+    std::function<void(const PeerSource&, const CrashMessage&)> onCrash;
+    std::function<void(const PeerSource&, const SurvivalMessage&)> onSurvival;
+    std::function<void(const PeerSource&, const quarantine::QuarantineNotice&)> onQuarantine;
 };
 
 class PeerLink {
@@ -89,6 +107,9 @@
     void send(const std::string& address, const AttemptEndMessage&);
     void send(const std::string& address, const RunningAttemptMessage&);
     void send(const std::string& address, const PresenceMessage&);
+    void send(const std::string& address, const CrashMessage&);
+    void send(const std::string& address, const SurvivalMessage&);
+    void send(const std::string& address, const quarantine::QuarantineNotice&);
 
     // Sends all pending datagrams now. Otherwise they are sent by a handler that the first message posted.
     void flush();
--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -43,6 +43,12 @@
 
     Fleet& fleetState() noexcept { return this->fleet; }
 
+    // Requests that are refused because they crash their targets.
+    RequestQuarantine& requestQuarantine() noexcept { return *this->quarantine; }
+
+    // Called when a refusal of such a request begins or is released.
+    std::function<void()> onRefusalsChange;
+
     // Called when the members of the fleet have changed, or which of them this daemon can reach.
     std::function<void()> onFleetChange;
 
@@ -71,6 +77,7 @@
     void recordPeerContact(const PeerSource&);
     void handleGrantRequest(const PeerSource&, const GrantRequestMessage&);
     void handlePresence(const PeerSource&, const PresenceMessage&);
+    QuarantineCallbacks makeQuarantineCallbacks();
     void deliverHostedDecision(const grants::Decision&);
     void sendGrantReply(const std::string& dispatcher, const GrantReplyMessage&);
     void deliverLocalDecision(const grants::Decision&);
@@ -97,6 +104,7 @@
     // The incarnation in the last message of each peer, by address.
     std::unordered_map<std::string, std::uint64_t> peerIncarnations;
     std::unique_ptr<PeerLink> peers;
+    std::unique_ptr<RequestQuarantine> quarantine;
     std::unique_ptr<DispatcherHost> hostedPools;
     std::unique_ptr<DispatcherHost> localPools;
     std::unique_ptr<TargetConnections> links;
--- a/packages/proxy/include/flamingowick/proxy/StateCache.h
+++ b/packages/proxy/include/flamingowick/proxy/StateCache.h
@@ -16,9 +16,11 @@
     Configuration,
     Targets,
     Members,
+    // Requests that are refused because they crash their targets.
+    Quarantines,
 };
 
-inline constexpr std::array allStateKinds { StateKind::Configuration, StateKind::Targets, StateKind::Members };
+inline constexpr std::array allStateKinds { StateKind::Configuration, StateKind::Targets, StateKind::Members, StateKind::Quarantines };
 
 // An object with its content, as the store contains it.
 struct StateObject {
--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -88,12 +88,14 @@
 private:
     struct HeldRequest {
         std::shared_ptr<CallerConnection> connection;
-        std::array<std::uint64_t, allStateKinds.size()> seenRevisions {};
+        // Empty for kinds that the follower did not ask for, because its release doesn't know them.
+        std::array<std::optional<std::uint64_t>, allStateKinds.size()> seenRevisions {};
         TimePoint dueAt;
     };
     struct FollowedRelay;
 
     void handleRequest(const std::shared_ptr<CallerConnection>&);
+    bool hasChangesFor(const HeldRequest&) const;
     void sendResponse(HeldRequest&);
     void respondToHeldRequests(bool dueOnly);
     void scheduleHeldRequests();
--- a/packages/proxy/include/flamingowick/proxy/TargetConnections.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetConnections.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 // Connections to targets. Each carries one request at a time and is reused while it has been idle for less than a share
@@ -34,6 +35,8 @@
     bool sent { false };
     // The connection was opened for this attempt rather than reused.
     bool newConnection { false };
+    // The connection ended before the first byte of a response, as it does when the target crashes.
+    bool endedWithoutResponse { false };
     // Set only when a complete response was received.
     HttpMessage response;
     // Why the attempt failed, for logs; empty otherwise.
@@ -42,6 +45,7 @@
 
 using AttemptHandler = std::function<void(AttemptResult)>;
 class TargetConnection;
+class ListeningCheck;
 
 class TargetConnections {
 public:
@@ -58,6 +62,10 @@
     // called. Unknown numbers are ignored.
     void cancel(std::uint64_t attempt);
 
+    // Opens a connection to the address and closes it again. The handler is called once, after this function has
+    // returned, with whether the target accepted the connection in time; it isn't called after the destructor.
+    void checkListening(std::string_view address, std::function<void(bool)> handler);
+
     // Whether an idle connection to the instance can be reused for a request.
     bool hasIdle(const std::string& instance, bool idempotent) const;
 
@@ -69,11 +77,13 @@
 
 private:
     friend class TargetConnection;
+    friend class ListeningCheck;
 
     asio::io_context& context;
     HeaderNames headerNames;
     std::unordered_map<std::string, std::vector<std::shared_ptr<TargetConnection>>> idleConnections;
     std::unordered_map<std::uint64_t, std::shared_ptr<TargetConnection>> activeConnections;
+    std::unordered_set<std::shared_ptr<ListeningCheck>> listeningChecks;
     std::uint64_t lastAttempt { 0 };
     std::uint64_t connectionsOpened { 0 };
 };
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -1,9 +1,9 @@
 #include "ActiveRequest.h"
 
+#include "flamingowick/model/Request.h"
 #include "flamingowick/model/StableHash.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 
 namespace flamingowick::proxy {
@@ -75,16 +75,6 @@
         return requestDigest(headerValue(request, "host"), request.method, request.target, {}, request.body);
     }
 
-    // Returns 16 hexadecimal digits.
-    std::string fingerprintText(std::uint64_t fingerprint)
-    {
-        std::string text(16, '0');
-        std::array<char, 16> digits {};
-        const auto result = std::to_chars(digits.data(), digits.data() + digits.size(), fingerprint, 16);
-        std::copy(digits.data(), result.ptr, text.end() - (result.ptr - digits.data()));
-        return text;
-    }
-
     std::string serviceLabel(std::string_view service)
     {
         return std::string("service=\"").append(service).append("\"");
@@ -119,6 +109,8 @@
         this->respondWithError(503, "no-time", milliseconds(0));
         return;
     }
+    if (this->respondIfQuarantined())
+        return;
     this->requestGrant(false);
     if (!this->completed)
         this->scheduleTimer();
@@ -188,6 +180,7 @@
     GrantRequestMessage message;
     message.number = this->pendingGrant->number;
     message.group = this->pendingGrant->group;
+    message.fingerprint = this->fingerprint;
     message.timeLeft = this->deadline - Clock::now();
     grants::GrantRequest& request = message.request;
     request.attemptId = { this->context.incarnation, message.number };
@@ -289,7 +282,7 @@
 
 void ActiveRequest::handleGranted(const grants::Decision& decision, const std::string& dispatcher)
 {
-    const Attempt attempt { this->pendingGrant->number, decision.instance, this->pendingGrant->group, dispatcher, 0, Clock::now() };
+    const Attempt attempt { this->pendingGrant->number, decision.instance, {}, this->pendingGrant->group, dispatcher, 0, Clock::now() };
     const bool isRetry = this->pendingGrant->isRetry;
     this->entry.pendingGrantRequests.erase(this->pendingGrant->number);
     this->pendingGrant.reset();
@@ -301,6 +294,13 @@
         this->requestGrant(isRetry);
         return;
     }
+    // Other daemons may have found out since that the request crashes its targets.
+    if (this->context.quarantine.refusedFor(this->fingerprint)) {
+        this->reportAttemptEnd(attempt, AttemptOutcome::Abandoned, Duration::zero());
+        if (this->attempts.empty())
+            this->respondIfQuarantined();
+        return;
+    }
     this->sendAttempt(decision, dispatcher);
 }
 
@@ -318,6 +318,7 @@
     Attempt attempt;
     attempt.number = decision.attemptId.number;
     attempt.instance = decision.instance;
+    attempt.address = spec.address;
     attempt.group = groupName(groupOf(this->service, decision.instance, this->targetGroupCount()));
     attempt.dispatcher = dispatcher;
     attempt.startedAt = now;
@@ -339,6 +340,16 @@
         this->nextHedgeAt.reset();
 }
 
+bool ActiveRequest::respondIfQuarantined()
+{
+    const std::optional<Duration> remaining = this->context.quarantine.refusedFor(this->fingerprint);
+    if (!remaining)
+        return false;
+    this->lastFailureReason = toString(grants::RefusalReason::RequestQuarantined);
+    this->respondWithFailure(*remaining);
+    return true;
+}
+
 bool ActiveRequest::hasUntriedTarget() const
 {
     const auto& entries = this->context.directory.entries;
@@ -358,6 +369,12 @@
     this->lastFailureReason = toString(decision.reason);
     this->context.log.write(EventScope::Request, "entry", "refused",
         EventFields().text("request", this->requestId).text("group", group).text("reason", this->lastFailureReason).number("waiting", static_cast<std::int64_t>(decision.queueLength)).milliseconds("retryAfterMs", decision.retryAfter).flag("repeat", isRetry));
+    if (decision.reason == grants::RefusalReason::RequestQuarantined) {
+        this->context.quarantine.handleNotice({ this->fingerprint, decision.retryAfter });
+        if (this->attempts.empty())
+            this->respondWithFailure(decision.retryAfter);
+        return;
+    }
     // A dispatcher that has just started does not know the targets yet.
     if (decision.reason == grants::RefusalReason::NoTarget && dispatcher != localDecision && this->attempts.empty() && this->hasUntriedTarget()) {
         this->prepareGrantRequest(isRetry);
@@ -425,6 +442,10 @@
     this->reportAttemptEnd(attempt, result.outcome, duration);
     this->context.metrics.increment("flamingowick_attempts_total", serviceLabel(this->service).append(",outcome=\"").append(toString(result.outcome)).append("\""));
     this->context.metrics.observeHistogram("flamingowick_attempt_seconds", serviceLabel(this->service), duration);
+    if (result.outcome == AttemptOutcome::Succeeded || result.outcome == AttemptOutcome::Failed)
+        this->context.quarantine.handleSurvival(this->fingerprint);
+    if (result.endedWithoutResponse)
+        this->checkForCrash(attempt);
     if (result.outcome == AttemptOutcome::Succeeded) {
         this->forwardResponse(result.response);
         return;
@@ -446,9 +467,19 @@
         this->scheduleTimer();
 }
 
+// A connection may also end because the target closed it while idle or resets some connections. A target that no longer
+// accepts connections has ended.
+void ActiveRequest::checkForCrash(const Attempt& attempt)
+{
+    this->context.links.checkListening(attempt.address, [&quarantine = this->context.quarantine, fingerprint = this->fingerprint, id = this->requestId, instance = attempt.instance, startedAt = attempt.startedAt](bool listening) {
+        if (!listening)
+            quarantine.handleCrash({ { fingerprint, instance }, Clock::now() - startedAt }, id);
+    });
+}
+
 bool ActiveRequest::mayRetry() const
 {
-    return (this->route.idempotent || !this->mayHaveExecuted) && this->sentCount < std::max(1U, this->route.maxAttempts) && this->deadline - Clock::now() > minAttemptTime;
+    return !this->context.quarantine.refusedFor(this->fingerprint) && (this->route.idempotent || !this->mayHaveExecuted) && this->sentCount < std::max(1U, this->route.maxAttempts) && this->deadline - Clock::now() > minAttemptTime;
 }
 
 void ActiveRequest::retryOrRespond()
--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -47,6 +47,7 @@
     struct Attempt {
         std::uint64_t number { 0 };
         std::string instance;
+        std::string address;
         std::string group;
         std::string dispatcher;
         // Identifies the attempt to TargetConnections::cancel().
@@ -69,6 +70,10 @@
     void handleGranted(const grants::Decision&, const std::string& dispatcher);
     void handleRefused(const grants::Decision&, const std::string& dispatcher);
     bool hasUntriedTarget() const;
+    // Responds if the request is refused because it crashes its targets. Returns whether it did.
+    bool respondIfQuarantined();
+    // Finds out whether the target of an attempt without a response has crashed, and reports that.
+    void checkForCrash(const Attempt&);
     void sendAttempt(const grants::Decision&, const std::string& dispatcher);
     void handleAttemptEnd(std::uint64_t number, AttemptResult);
     // Reports the end to the local pool, to the dispatcher that granted the attempt and to the current one.
--- a/packages/proxy/src/PeerLink.cpp
+++ b/packages/proxy/src/PeerLink.cpp
@@ -31,6 +31,7 @@
         GrantRequestMessage message;
         message.number = wireRequest.number();
         message.group = wireRequest.service();
+        message.fingerprint = wireRequest.fingerprint();
         message.timeLeft = milliseconds(wireRequest.left());
         grants::GrantRequest& request = message.request;
         request.attemptId = { incarnation, wireRequest.number() };
@@ -55,7 +56,7 @@
         decision.attemptId.number = wireReply.number();
         decision.kind = message.kind == GrantReplyKind::Granted ? grants::DecisionKind::Granted : grants::DecisionKind::Refused;
         decision.instance = wireReply.instance();
-        decision.reason = boundedEnum(wireReply.reason(), grants::RefusalReason::RetryBudgetExhausted);
+        decision.reason = boundedEnum(wireReply.reason(), grants::RefusalReason::RequestQuarantined);
         decision.retryAfter = milliseconds(wireReply.retry_after());
         decision.suspicionAge = milliseconds(wireReply.unusual_after());
         decision.failureProbability = wireReply.failing();
@@ -112,6 +113,7 @@
     wireRequest.set_left(toMilliseconds(message.timeLeft));
     wireRequest.set_objective(toMilliseconds(message.request.latencyObjective));
     wireRequest.set_failure_domain(message.request.failureDomain);
+    wireRequest.set_fingerprint(message.fingerprint);
     for (const std::string& instance : message.request.excludedInstances)
         wireRequest.add_avoid(instance);
     for (const std::string& instance : message.request.idleConnectionInstances)
@@ -162,6 +164,26 @@
     presence.set_failure_domain(message.failureDomain);
 }
 
+void PeerLink::send(const std::string& address, const CrashMessage& message)
+{
+    wire::Crash& crash = *this->pendingDatagramTo(address).add_crashes();
+    crash.set_fingerprint(message.report.fingerprint);
+    crash.set_instance(message.report.target);
+    crash.set_age(toMilliseconds(message.age));
+}
+
+void PeerLink::send(const std::string& address, const SurvivalMessage& message)
+{
+    this->pendingDatagramTo(address).add_survivals(message.fingerprint);
+}
+
+void PeerLink::send(const std::string& address, const quarantine::QuarantineNotice& notice)
+{
+    wire::Quarantine& refusal = *this->pendingDatagramTo(address).add_quarantines();
+    refusal.set_fingerprint(notice.fingerprint);
+    refusal.set_remaining(toMilliseconds(notice.remaining));
+}
+
 void PeerLink::flush()
 {
     this->flushScheduled = false;
@@ -211,6 +233,13 @@
         const wire::Presence& presence = datagram.presence();
         this->handlers.onPresence(source, { presence.name(), presence.address(), presence.leaving(), presence.wants_reply(), presence.failure_domain() });
     }
+    // Refusals and crashes are handled before grant requests, which they may concern.
+    for (const wire::Quarantine& refusal : datagram.quarantines())
+        this->handlers.onQuarantine(source, { refusal.fingerprint(), milliseconds(refusal.remaining()) });
+    for (const wire::Crash& crash : datagram.crashes())
+        this->handlers.onCrash(source, { { crash.fingerprint(), crash.instance() }, milliseconds(crash.age()) });
+    for (const std::uint64_t fingerprint : datagram.survivals())
+        this->handlers.onSurvival(source, { fingerprint });
     for (const wire::Running& running : datagram.running())
         this->handlers.onRunningAttempt(source, { running.number(), running.service(), running.instance(), milliseconds(running.age()), running.workload() });
     // Ends of attempts are handled before grant requests, because they free slots for them.
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -47,6 +47,7 @@
     this->fleet.self = this->settings.vm;
     addMember(this->fleet, { this->settings.vm, this->settings.peerAddress, this->settings.failureDomain }, Clock::now());
     this->peers = std::make_unique<PeerLink>(this->io, this->settings.peerAddress, this->ownIncarnation, this->makePeerHandlers());
+    this->quarantine = std::make_unique<RequestQuarantine>(this->fleet, this->log, this->metrics, this->makeQuarantineCallbacks());
     // Two dispatchers may briefly serve the same group, so each pool gets less than half of the service's retry burst.
     constexpr double retryShare = 0.4;
     this->hostedPools = std::make_unique<DispatcherHost>(this->io, "dispatch", this->settings, retryShare, this->log,
@@ -54,7 +55,7 @@
     this->localPools = std::make_unique<DispatcherHost>(this->io, "alone", this->settings, retryShare, this->log,
         makeDispatcherCallbacks([this](const grants::Decision& decision) { this->deliverLocalDecision(decision); }, this->directory));
     this->links = std::make_unique<TargetConnections>(this->io, this->settings.headers);
-    this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->appliedConfiguration, this->directory, this->fleet, *this->peers, *this->hostedPools, *this->localPools, *this->links, this->log, this->metrics, this->ownIncarnation, [this] {
+    this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->appliedConfiguration, this->directory, this->fleet, *this->peers, *this->hostedPools, *this->localPools, *this->links, *this->quarantine, this->log, this->metrics, this->ownIncarnation, [this] {
                                                                      this->scheduleProbes();
                                                                      this->handleFleetChange();
                                                                  } });
@@ -232,9 +233,28 @@
         this->hostedPools->attemptRunning({ source.incarnation, message.number }, message);
     };
     handlers.onPresence = [this](const PeerSource& source, const PresenceMessage& message) { this->handlePresence(source, message); };
+    handlers.onCrash = [this](const PeerSource& source, const CrashMessage& message) { this->quarantine->handleReportedCrash(source.address, message); };
+    handlers.onSurvival = [this](const PeerSource&, const SurvivalMessage& message) { this->quarantine->handleReportedSurvival(message); };
+    handlers.onQuarantine = [this](const PeerSource&, const quarantine::QuarantineNotice& notice) {
+        this->quarantine->handleNotice(notice);
+        this->scheduleLogFlush();
+    };
     return handlers;
 }
 
+QuarantineCallbacks Proxy::makeQuarantineCallbacks()
+{
+    QuarantineCallbacks callbacks;
+    callbacks.sendCrash = [this](const std::string& address, const CrashMessage& message) { this->peers->send(address, message); };
+    callbacks.sendSurvival = [this](const std::string& address, const SurvivalMessage& message) { this->peers->send(address, message); };
+    callbacks.sendNotice = [this](const std::string& address, const quarantine::QuarantineNotice& notice) { this->peers->send(address, notice); };
+    callbacks.onRefusalsChange = [this] {
+        if (this->onRefusalsChange)
+            this->onRefusalsChange();
+    };
+    return callbacks;
+}
+
 void Proxy::recordPeerContact(const PeerSource& source)
 {
     const std::string name(memberNameAt(this->fleet, source.address));
@@ -242,6 +262,7 @@
         return;
     if (markMemberAlive(this->fleet, name)) {
         this->log.write(EventScope::Process, "fleet", "member-heard", EventFields().text("member", name));
+        this->quarantine->sendRefusalsTo(source.address);
         this->handleFleetChange();
     }
     std::uint64_t& lastIncarnation = this->peerIncarnations[source.address];
@@ -258,6 +279,15 @@
     this->entryAddresses[source.incarnation] = source.address;
     this->recordPeerContact(source);
     const grants::AttemptId attemptId = message.request.attemptId;
+    if (const std::optional<Duration> remaining = this->quarantine->refusedFor(message.fingerprint)) {
+        GrantReplyMessage reply;
+        reply.kind = GrantReplyKind::Refused;
+        reply.decision.attemptId = attemptId;
+        reply.decision.reason = grants::RefusalReason::RequestQuarantined;
+        reply.decision.retryAfter = *remaining;
+        this->peers->send(source.address, reply);
+        return;
+    }
     if (!this->hostedPools->requestGrant(message)) {
         GrantReplyMessage reply;
         reply.kind = GrantReplyKind::Queued;
@@ -284,8 +314,11 @@
         this->handleFleetChange();
     }
     this->recordPeerContact(source);
-    if (message.wantsReply)
+    if (message.wantsReply) {
+        // A daemon that has just started knows no refusals.
+        this->quarantine->sendRefusalsTo(source.address);
         this->peers->send(source.address, PresenceMessage { this->settings.vm, this->settings.peerAddress, this->stopping, false, this->settings.failureDomain });
+    }
     this->scheduleLogFlush();
 }
 
@@ -353,6 +386,7 @@
     this->metrics.setGauge("flamingowick_datagrams_sent", {}, static_cast<double>(this->peers->sentDatagrams()));
     this->metrics.setGauge("flamingowick_datagrams_unreadable", {}, static_cast<double>(this->peers->malformedDatagrams()));
     this->metrics.setGauge("flamingowick_log_lines_left_out", {}, static_cast<double>(this->log.droppedLines()));
+    this->metrics.setGauge("flamingowick_refused_requests", {}, static_cast<double>(this->quarantine->refusedRequests().size()));
     this->metrics.setGauge("flamingowick_store_away", {}, this->directory.storeUnavailable ? 1 : 0);
     return this->metrics.render();
 }
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -17,16 +17,18 @@
 
     constexpr unsigned maxPeerConnections = 512;
     constexpr std::string_view statePath = "/state";
-    constexpr std::array<std::string_view, allStateKinds.size()> kindNames { "configuration", "targets", "members" };
+    constexpr std::array<std::string_view, allStateKinds.size()> kindNames { "configuration", "targets", "members", "quarantines" };
 
-    // Returns the value of a parameter in the query of a request target; 0 when it is missing or not a number.
-    std::uint64_t queryParameter(std::string_view target, std::string_view name)
+    // Returns the value of a parameter in the query of a request target: nothing when it is missing, 0 when it is not a
+    // number.
+    std::optional<std::uint64_t> queryParameter(std::string_view target, std::string_view name)
     {
         const std::string prefix = std::string(name).append("=");
         const std::size_t position = target.find(prefix);
+        if (position == std::string_view::npos)
+            return std::nullopt;
         std::uint64_t value = 0;
-        if (position != std::string_view::npos)
-            std::from_chars(target.data() + position + prefix.size(), target.data() + target.size(), value);
+        std::from_chars(target.data() + position + prefix.size(), target.data() + target.size(), value);
         return value;
     }
 
@@ -146,12 +148,9 @@
     }
     HeldRequest request;
     request.connection = connection;
-    bool hasChanges = false;
-    for (std::size_t index = 0; index < kindNames.size(); ++index) {
+    for (std::size_t index = 0; index < kindNames.size(); ++index)
         request.seenRevisions.at(index) = queryParameter(target, kindNames.at(index));
-        hasChanges = hasChanges || hasChangesSince(this->caches.at(index), request.seenRevisions.at(index));
-    }
-    if (hasChanges || this->stopped) {
+    if (this->hasChangesFor(request) || this->stopped) {
         this->sendResponse(request);
         return;
     }
@@ -160,14 +159,25 @@
     this->scheduleHeldRequests();
 }
 
+bool StateFeed::hasChangesFor(const HeldRequest& request) const
+{
+    for (std::size_t index = 0; index < kindNames.size(); ++index) {
+        const std::optional<std::uint64_t> seenRevision = request.seenRevisions.at(index);
+        if (seenRevision && hasChangesSince(this->caches.at(index), *seenRevision))
+            return true;
+    }
+    return false;
+}
+
 void StateFeed::sendResponse(HeldRequest& request)
 {
     wire::StateAnswer content;
     content.set_contact_age(static_cast<std::uint32_t>(std::min<std::int64_t>(std::chrono::duration_cast<milliseconds>(this->storeContactAge()).count(), 3'600'000)));
     content.set_in_touch_for(static_cast<std::uint32_t>(std::min<std::int64_t>(std::chrono::duration_cast<milliseconds>(this->callbacks.storeConnectedFor()).count(), 3'600'000)));
     for (std::size_t index = 0; index < kindNames.size(); ++index) {
-        if (hasChangesSince(this->caches.at(index), request.seenRevisions.at(index)))
-            writeDelta(this->caches.at(index), allStateKinds.at(index), request.seenRevisions.at(index), content);
+        const std::optional<std::uint64_t> seenRevision = request.seenRevisions.at(index);
+        if (seenRevision && hasChangesSince(this->caches.at(index), *seenRevision))
+            writeDelta(this->caches.at(index), allStateKinds.at(index), *seenRevision, content);
     }
     HttpMessage message;
     message.status = 200;
@@ -179,10 +189,7 @@
 {
     const TimePoint now = Clock::now();
     for (auto request = this->heldRequests.begin(); request != this->heldRequests.end();) {
-        bool ready = request->dueAt <= now;
-        for (std::size_t index = 0; !ready && !dueOnly && index < kindNames.size(); ++index)
-            ready = hasChangesSince(this->caches.at(index), request->seenRevisions.at(index));
-        if (!ready) {
+        if (request->dueAt > now && (dueOnly || !this->hasChangesFor(*request))) {
             ++request;
             continue;
         }
--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -223,6 +223,7 @@
         result.outcome = outcome;
         result.sent = this->sent;
         result.newConnection = this->newConnection;
+        result.endedWithoutResponse = outcome == grants::AttemptOutcome::ConnectionBroken && !this->reader.hasStarted();
         result.reason = reason;
         this->finishAttempt(std::move(result), false);
     }
@@ -281,6 +282,61 @@
     bool closed { false };
 };
 
+class ListeningCheck : public std::enable_shared_from_this<ListeningCheck> {
+public:
+    ListeningCheck(TargetConnections& connections, std::function<void(bool)> checkHandler)
+        : owner(connections)
+        , socket(connections.context)
+        , timer(connections.context)
+        , handler(std::move(checkHandler))
+    {
+    }
+
+    void start(std::string_view address)
+    {
+        asio::ip::tcp::endpoint endpoint;
+        try {
+            endpoint = parseTcpEndpoint(address);
+        } catch (const std::exception&) {
+            asio::post(this->owner.context, [self = this->shared_from_this()] { self->finish(false); });
+            return;
+        }
+        ++this->owner.connectionsOpened;
+        this->timer.expires_after(connectTimeout);
+        this->timer.async_wait([self = this->shared_from_this()](const asio::error_code& error) {
+            if (!error)
+                self->finish(false);
+        });
+        this->socket.async_connect(endpoint, [self = this->shared_from_this()](const asio::error_code& error) { self->finish(!error); });
+    }
+
+    // Ends the check without a result.
+    void cancel()
+    {
+        this->handler = nullptr;
+        asio::error_code ignored;
+        this->socket.close(ignored);
+        this->timer.cancel();
+    }
+
+private:
+    void finish(bool listening)
+    {
+        if (!this->handler)
+            return;
+        const std::shared_ptr<ListeningCheck> self = this->shared_from_this();
+        const std::function<void(bool)> completion = std::move(this->handler);
+        this->cancel();
+        this->owner.listeningChecks.erase(self);
+        completion(listening);
+    }
+
+    TargetConnections& owner;
+    asio::ip::tcp::socket socket;
+    Timer timer;
+    std::function<void(bool)> handler;
+};
+
 TargetConnections::TargetConnections(asio::io_context& ioContext, HeaderNames headerNames)
     : context(ioContext)
     , headerNames(std::move(headerNames))
@@ -295,6 +351,8 @@
     }
     for (auto& [attempt, connection] : this->activeConnections)
         connection->close();
+    for (const auto& check : this->listeningChecks)
+        check->cancel();
 }
 
 std::uint64_t TargetConnections::start(AttemptSpec spec, AttemptHandler handler)
@@ -330,6 +388,13 @@
     connection->close();
 }
 
+void TargetConnections::checkListening(std::string_view address, std::function<void(bool)> handler)
+{
+    const auto check = std::make_shared<ListeningCheck>(*this, std::move(handler));
+    this->listeningChecks.insert(check);
+    check->start(address);
+}
+
 bool TargetConnections::hasIdle(const std::string& instance, bool idempotent) const
 {
     const auto found = this->idleConnections.find(instance);
--- a/packages/proxy/tests/unit-crashing-requests.cpp
+++ b/packages/proxy/tests/unit-crashing-requests.cpp
@@ -58,7 +58,7 @@
 };
 
 // Guards against a crashing request being sent to targets each time its caller sends it again, at whichever daemon.
-IGNORE_TEST(CrashingRequests, AreSentToNoMoreTargetsOnceThreeHaveCrashed)
+TEST(CrashingRequests, AreSentToNoMoreTargetsOnceThreeHaveCrashed)
 {
     startFleet(4, false);
     sendRepeatedly("poison", 20);
@@ -67,10 +67,90 @@
 }
 
 // The same for requests that the daemons themselves send again.
-IGNORE_TEST(CrashingRequests, ThatAreIdempotentAreSentToNoMoreTargetsEither)
+TEST(CrashingRequests, ThatAreIdempotentAreSentToNoMoreTargetsEither)
 {
     startFleet(4, true);
     sendRepeatedly("poison", 20);
     CHECK_COMPARE(crashes(), <=, allowedCrashes);
     CHECK_EQUAL(200, send(0, "wholesome").status);
 }
+
+TEST(CrashingRequests, AreRefusedAtOnceWithTheTimeLeft)
+{
+    startFleet(2, false);
+    sendRepeatedly("poison", 4);
+    const unsigned crashesBefore = crashes();
+    const HttpMessage response = send(1, "poison");
+    CHECK_EQUAL(503, response.status);
+    CHECK_EQUAL(std::string("request-quarantined\n"), response.body);
+    const double retryAfter = std::stod(std::string(headerValue(response, "Retry-After")));
+    CHECK(retryAfter > 590 && retryAfter <= 600);
+    CHECK_EQUAL(crashesBefore, crashes());
+}
+
+// Guards against harmless requests being refused because they met targets that reset connections.
+TEST(CrashingRequests, AreToldFromThoseWhoseTargetsResetConnectionsAndLive)
+{
+    startFleet(3, false);
+    for (const auto& target : testBed.targets)
+        target->resetInsteadOfResponse = true;
+    sendRepeatedly("wholesome", 9);
+    for (const auto& proxy : testBed.proxies)
+        CHECK(proxy->requestQuarantine().refusedRequests().empty());
+    for (const auto& target : testBed.targets)
+        target->resetInsteadOfResponse = false;
+    CHECK_EQUAL(200, send(0, "wholesome").status);
+}
+
+TEST(CrashingRequests, AreNoLongerSuspectedOnceATargetHasAnswered)
+{
+    constexpr std::uint64_t fingerprint = 7;
+    startFleet(4, false);
+    const auto crash = [&](std::size_t daemon, const std::string& target) {
+        testBed.proxies.at(daemon)->requestQuarantine().handleCrash({ { fingerprint, target }, milliseconds(1) }, "r");
+        testBed.runFor(milliseconds(20));
+    };
+    crash(0, "i-1");
+    crash(0, "i-2");
+    testBed.proxies.front()->requestQuarantine().handleSurvival(fingerprint);
+    testBed.runFor(milliseconds(20));
+    crash(1, "i-3");
+    crash(2, "i-4");
+    for (const auto& proxy : testBed.proxies)
+        CHECK_FALSE(proxy->requestQuarantine().refusedFor(fingerprint).has_value());
+    crash(3, "i-5");
+    for (const auto& proxy : testBed.proxies)
+        CHECK(proxy->requestQuarantine().refusedFor(fingerprint).has_value());
+}
+
+TEST(CrashingRequests, AreRefusedByTheDispatcherForADaemonThatMissedTheNotice)
+{
+    startFleet(3, false);
+    sendRepeatedly("poison", 4);
+    const std::string dispatcher = dispatchersFor(testBed.proxies.front()->fleetState(), "stock/0/1").front();
+    const std::size_t other = testBed.settings.front().vm == dispatcher ? 1 : 0;
+    RequestQuarantine& uninformed = testBed.proxies.at(other)->requestQuarantine();
+    const std::uint64_t fingerprint = uninformed.refusedRequests().front().fingerprint;
+    uninformed.release(fingerprint);
+    const unsigned crashesBefore = crashes();
+    CHECK_EQUAL(503, send(other, "poison").status);
+    CHECK_EQUAL(crashesBefore, crashes());
+    CHECK(uninformed.refusedFor(fingerprint).has_value());
+}
+
+TEST(CrashingRequests, AreKnownToADaemonThatJoinsLater)
+{
+    startFleet(2, false);
+    testBed.proxies.front()->requestQuarantine().handleNotice({ 7, seconds(60) });
+    ProxySettings joining = testBed.settings.front();
+    joining.vm = "vm-late";
+    joining.callerAddress = freeAddress();
+    joining.readyAddress = freeAddress();
+    joining.peerAddress = freeAddress();
+    Proxy proxy(testBed.io, joining, 99, testBed.log);
+    std::vector<FleetMember> members { { joining.vm, joining.peerAddress, "a" } };
+    for (const ProxySettings& known : testBed.settings)
+        members.push_back({ known.vm, known.peerAddress, "a" });
+    proxy.setMembers(members);
+    CHECK(testBed.runUntil([&] { return proxy.requestQuarantine().refusedFor(7).has_value(); }));
+}
--- a/packages/proxy/tests/unit-log-lines.cpp
+++ b/packages/proxy/tests/unit-log-lines.cpp
@@ -150,6 +150,19 @@
     lineOf("daemon", "stopped", { "running", "tookMs" });
 }
 
+TEST(Lines, OfARefusedRequestReportItsCrashesAndItsFingerprint)
+{
+    testBed.addTarget([](const HttpMessage& received) { return ScriptedTarget::healthyResponse(received); });
+    testBed.start(1, false);
+    RequestQuarantine& quarantine = testBed.proxies.front()->requestQuarantine();
+    for (int count = 0; count < 3; ++count)
+        quarantine.handleCrash({ { 0xabc, "i-" + std::to_string(count) }, milliseconds(1) }, "r1");
+    CHECK_EQUAL(std::string("0000000000000abc"), lineOf("quarantine", "target-crashed", { "fingerprint", "request", "target", "lastedMs" }).at("fingerprint").get<std::string>());
+    lineOf("quarantine", "refusal-began", { "fingerprint", "source", "crashes", "remainingMs" });
+    quarantine.release(0xabc);
+    lineOf("quarantine", "refusal-released", { "fingerprint" });
+}
+
 // A full pipe must not block the event loop: requests are served, and log lines stay in the buffer or are dropped.
 TEST(Lines, DoNotBlockRequestsWhenThePipeIsFull)
 {
