Free the slot of an attempt whose group has changed since its grant

Cause: an entry names the group of an attempt by the number of groups that it knows when it sends it. Targets joined at 6 s and the service went from four groups to eight, and back at 8 s. Attempts granted by a pool of four ended under a group of eight; the dispatcher looked for them in that pool, opened it anew, and never freed the slots in the pool that had granted them. They stayed occupied until their age limit of 12 s.

Dispatchers open pools of eight groups that nobody requests grants from.

Change: the end of an attempt is searched in all pools of the dispatcher when the named one does not hold it, and opens none. Entry.FreesTheSlotOfAnAttemptWhoseGroupHasChanged failed before (503 for 200).

--- a/packages/proxy/include/flamingowick/proxy/DispatcherHost.h
+++ b/packages/proxy/include/flamingowick/proxy/DispatcherHost.h
@@ -33,7 +33,8 @@
     bool requestGrant(const GrantRequestMessage&);
 
     // Handles the end of an attempt and frees its slot, or removes the group's queued request with that ID. Unknown
-    // attempts are ignored. If the group is empty, all pools are searched for the attempt, but not their queues.
+    // attempts are ignored. The group is where the attempt is searched first: the entry may have come to know another
+    // number of groups since the grant. Logarithmic in the attempts for each pool.
     void attemptEnded(std::string_view group, const grants::AttemptId&, grants::AttemptOutcome, Duration duration);
 
     // Records an attempt that was started without a grant of this host, and whose slot is occupied.
--- a/packages/proxy/src/DispatcherHost.cpp
+++ b/packages/proxy/src/DispatcherHost.cpp
@@ -67,18 +67,16 @@
 
 void DispatcherHost::attemptEnded(std::string_view group, const grants::AttemptId& attemptId, grants::AttemptOutcome outcome, Duration duration)
 {
-    if (group.empty()) {
-        for (auto& [name, known] : this->poolsByGroup) {
-            if (known.instanceByAttempt.find(attemptId) != known.instanceByAttempt.end()) {
-                this->attemptEnded(name, attemptId, outcome, duration);
-                return;
-            }
-        }
-        return;
+    const auto holdsAttempt = [&attemptId](const auto& item) { return item.second.instanceByAttempt.find(attemptId) != item.second.instanceByAttempt.end(); };
+    auto found = this->poolsByGroup.find(group);
+    if (found == this->poolsByGroup.end() || !holdsAttempt(*found)) {
+        const auto holder = std::find_if(this->poolsByGroup.begin(), this->poolsByGroup.end(), holdsAttempt);
+        if (holder != this->poolsByGroup.end())
+            found = holder;
     }
-    grants::TargetPool* pool = this->poolOf(group);
-    if (!pool)
+    if (found == this->poolsByGroup.end())
         return;
+    grants::TargetPool* pool = &found->second;
     const TimePoint now = Clock::now();
     const auto attempt = pool->instanceByAttempt.find(attemptId);
     const std::string instance = attempt == pool->instanceByAttempt.end() ? std::string() : attempt->second;
@@ -91,7 +89,7 @@
         const bool isEjected = after > loggedEjectionThreshold;
         if (wasEjected != isEjected) {
             this->log.write(telemetry::EventScope::Process, this->logComponent, isEjected ? "ejected" : "readmitted",
-                telemetry::EventFields().text("target", instance).text("group", group).real("failingBefore", before).real("failing", after).text("outcome", toString(outcome)).milliseconds("lastedMs", duration));
+                telemetry::EventFields().text("target", instance).text("group", found->first).real("failingBefore", before).real("failing", after).text("outcome", toString(outcome)).milliseconds("lastedMs", duration));
         }
     }
 }
--- a/packages/proxy/tests/unit-entry.cpp
+++ b/packages/proxy/tests/unit-entry.cpp
@@ -318,3 +318,36 @@
     }
     CHECK_EQUAL(0, target.requests.size());
 }
+
+// Guards against a slot that stays occupied for seconds because the entry's list of targets grew into another number of
+// groups between the grant request and the end of the attempt.
+TEST(Entry, FreesTheSlotOfAnAttemptWhoseGroupHasChanged)
+{
+    bool responds = false;
+    ScriptedTarget& target = testBed.addTarget([&responds](const HttpMessage& received) { return responds ? std::optional(ScriptedTarget::healthyResponse(received)) : std::nullopt; });
+    testBed.entries.front().target.slots = 1;
+    for (int index = 2; index <= 32; ++index) {
+        TargetEntry leaving = testBed.entries.front();
+        leaving.target.instance = "i-" + std::to_string(index);
+        leaving.target.leaving = true;
+        testBed.entries.push_back(leaving);
+    }
+    testBed.start(3, false);
+    const std::string dispatcher = dispatchersFor(testBed.proxies.front()->fleetState(), "stock/0/1").front();
+    const std::size_t other = testBed.settings.front().vm == dispatcher ? 1 : 0;
+    auto first = testBed.connectCaller(other);
+    first->send(makeRequest("a", "POST", "x", "300"));
+    CHECK(testBed.runUntil([&] { return target.requests.size() == 1; }));
+    auto queued = testBed.connectCaller(other);
+    queued->send(makeRequest("b", "POST", "x"));
+    testBed.runFor(milliseconds(50));
+    TargetEntry added = testBed.entries.back();
+    added.target.instance = "i-33";
+    testBed.proxies.at(other)->applyTargetChanges(std::vector<TargetEntry> { added }, {});
+    responds = true;
+    CHECK(testBed.runUntil([&] { return !queued->responses.empty(); }));
+    CHECK_EQUAL(200, queued->responses.front().status);
+    testBed.proxies.at(other)->applyTargetChanges({}, std::vector<std::string> { "i-33" });
+    auto last = testBed.connectCaller(other);
+    CHECK_EQUAL(200, exchange(*last, makeRequest("c", "POST", "x", "1000")).status);
+}
