Give servers of tests addresses that nothing else uses

Each process now has a loopback IP of its own and numbers its ports from below the range that connections get.

--- a/packages/proxy/tests/ProxyTestBed.h
+++ b/packages/proxy/tests/ProxyTestBed.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "FreeAddress.h"
+
 #include "flamingowick/proxy/Proxy.h"
 
 #include <CppUTest/TestHarness.h>
@@ -15,14 +17,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Returns a loopback address whose port was free at the time of the call.
-inline std::string freeAddress()
-{
-    asio::io_context io;
-    asio::ip::tcp::acceptor acceptor(io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 inline HeaderNames testHeaders()
 {
     return { "X-Id", "X-Left-Ms", "X-Signature", "X-Expected", "X-Not-Run" };
@@ -35,15 +29,15 @@
 
     ScriptedTarget(asio::io_context& io, Script responseScript)
         : context(io)
-        , acceptor(io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-        , endpoint(this->acceptor.local_endpoint())
+        , endpoint(parseTcpEndpoint(freeAddress()))
+        , acceptor(io, this->endpoint)
         , restartTimer(io)
         , script(std::move(responseScript))
     {
         this->accept();
     }
 
-    std::string address() const { return "127.0.0.1:" + std::to_string(this->endpoint.port()); }
+    std::string address() const { return this->endpoint.address().to_string() + ":" + std::to_string(this->endpoint.port()); }
 
     // Returns the response of a healthy target.
     static std::string healthyResponse(const HttpMessage& request, std::string_view body = "fine", std::string_view extraHeaders = "")
@@ -155,8 +149,8 @@
     }
 
     asio::io_context& context;
-    asio::ip::tcp::acceptor acceptor;
     asio::ip::tcp::endpoint endpoint;
+    asio::ip::tcp::acceptor acceptor;
     Timer restartTimer;
     std::vector<std::weak_ptr<Connection>> openConnections;
     Script script;
