--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -249,6 +249,7 @@
     callbacks.sendSurvival = [this](const std::string& address, const SurvivalMessage& message) { this->peers->send(address, message); };
     callbacks.sendNotice = [this](const std::string& address, const quarantine::QuarantineNotice& notice) { this->peers->send(address, notice); };
     callbacks.onRefusalsChange = [this] {
+        this->scheduleLogFlush();
         if (this->onRefusalsChange)
             this->onRefusalsChange();
     };
