Log the check for crashed targets, retries and their budget, and a target's Retry-After

The logs could not tell why a crash was not counted (the check's result was not written), whether retries came from one retry budget or several (granted and refused lines had neither the kind of the attempt nor the tokens left), nor whether a target had said for how long it wants nothing.

Lines: entry crash-checked (listening, tookMs); attempt-failed with retryAfter; dispatch granted and refused with repeat and retryTokens. Decisions are unchanged.

--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -100,6 +100,9 @@
     double failureProbability { 0 };
     unsigned inFlight { 0 };
     std::size_t queueLength { 0 };
+    // As in the request; and the tokens that the retry budget held after the decision.
+    bool isRetry { false };
+    double retryTokens { 0 };
 };
 
 struct PoolLimits {
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -210,6 +210,8 @@
         decision.failureProbability = choice.failureProbability;
         decision.inFlight = usedSlots(*choice.target);
         decision.queueLength = pool.queue.size();
+        decision.isRetry = request.isRetry;
+        decision.retryTokens = pool.retryBudget.tokens;
         choice.target->inFlight.emplace(request.attemptId, AttemptInFlight { now, request.workload });
         choice.target->lastGrantedAt = now;
         pool.instanceByAttempt[request.attemptId] = decision.instance;
@@ -227,6 +229,8 @@
         decision.reason = reason;
         decision.retryAfter = std::max(retryAfter, minRetryAfter);
         decision.queueLength = pool.queue.size();
+        decision.isRetry = request.isRetry;
+        decision.retryTokens = pool.retryBudget.tokens;
         return decision;
     }
 
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -38,6 +38,8 @@
     constexpr Duration hedgeRetryDelay { milliseconds(60) };
     // Instances with an idle connection that a grant request lists at most; it must fit into one datagram.
     constexpr std::size_t maxIdleInstancesSent = 12;
+    // Bytes of a target's header that a log line contains at most.
+    constexpr std::size_t maxLoggedHeaderBytes = 32;
     // Groups that may refuse a request before the caller gets the refusal.
     constexpr std::size_t maxGroupsTried = 3;
 
@@ -451,7 +453,7 @@
         return;
     }
     this->context.log.write(EventScope::Request, "entry", "attempt-failed",
-        EventFields().text("request", this->requestId).text("target", attempt.instance).text("outcome", toString(result.outcome)).number("status", result.response.status).text("reason", result.reason).flag("newConnection", result.newConnection).milliseconds("lastedMs", duration));
+        EventFields().text("request", this->requestId).text("target", attempt.instance).text("outcome", toString(result.outcome)).number("status", result.response.status).text("reason", result.reason).text("retryAfter", std::string_view(headerValue(result.response, "retry-after")).substr(0, maxLoggedHeaderBytes)).flag("newConnection", result.newConnection).milliseconds("lastedMs", duration));
     const bool notExecuted = result.outcome == AttemptOutcome::Shed || result.outcome == AttemptOutcome::InstanceReplaced || result.outcome == AttemptOutcome::Unreachable;
     if (notExecuted) {
         this->lastFailureReason = toString(result.outcome);
@@ -471,7 +473,8 @@
 // accepts connections has ended.
 void ActiveRequest::checkForCrash(const Attempt& attempt)
 {
-    this->context.links.checkListening(attempt.address, [&quarantine = this->context.quarantine, fingerprint = this->fingerprint, id = this->requestId, instance = attempt.instance, startedAt = attempt.startedAt](bool listening) {
+    this->context.links.checkListening(attempt.address, [&log = this->context.log, &quarantine = this->context.quarantine, fingerprint = this->fingerprint, id = this->requestId, instance = attempt.instance, startedAt = attempt.startedAt, endedAt = Clock::now()](bool listening) {
+        log.write(EventScope::Request, "entry", "crash-checked", EventFields().text("request", id).text("target", instance).flag("listening", listening).milliseconds("tookMs", Clock::now() - endedAt));
         if (!listening)
             quarantine.handleCrash({ { fingerprint, instance }, Clock::now() - startedAt }, id);
     });
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -336,7 +336,7 @@
 {
     const bool granted = decision.kind == grants::DecisionKind::Granted;
     this->log.write(EventScope::Request, "dispatch", granted ? "granted" : "refused",
-        EventFields().text("request", decision.requestId).text("target", decision.instance).real("failing", decision.failureProbability).number("inFlight", decision.inFlight).number("waiting", static_cast<std::int64_t>(decision.queueLength)).text("reason", toString(decision.reason)).milliseconds("targetsAgeMs", Clock::now() - this->targetsChangedAt));
+        EventFields().text("request", decision.requestId).text("target", decision.instance).real("failing", decision.failureProbability).number("inFlight", decision.inFlight).number("waiting", static_cast<std::int64_t>(decision.queueLength)).text("reason", toString(decision.reason)).flag("repeat", decision.isRetry).real("retryTokens", decision.retryTokens).milliseconds("targetsAgeMs", Clock::now() - this->targetsChangedAt));
     this->metrics.increment(granted ? "flamingowick_grants_total" : "flamingowick_refusals_total");
     const GrantReplyMessage reply { granted ? GrantReplyKind::Granted : GrantReplyKind::Refused, decision };
     if (decision.attemptId.entry == this->ownIncarnation) {
--- a/packages/proxy/tests/unit-log-lines.cpp
+++ b/packages/proxy/tests/unit-log-lines.cpp
@@ -79,7 +79,7 @@
     serve(makeRequest("r1", "POST", "x"));
     const auto routed = lineOf("entry", "routed", { "request", "fingerprint", "route", "service", "configuration", "configurationAgeMs", "leftMs" });
     CHECK_EQUAL(std::string("r1"), routed.at("request").get<std::string>());
-    lineOf("dispatch", "granted", { "request", "target", "failing", "inFlight", "waiting", "targetsAgeMs" });
+    lineOf("dispatch", "granted", { "request", "target", "failing", "inFlight", "waiting", "repeat", "retryTokens", "targetsAgeMs" });
     lineOf("entry", "sent", { "request", "target", "address", "dispatcher", "failing", "inFlight", "waiting", "attempt", "ageMs" });
     const auto answered = lineOf("entry", "answered", { "request", "service", "status", "reason", "target", "attempts", "tookMs", "leftMs" });
     CHECK_EQUAL(200, answered.at("status").get<int>());
@@ -91,7 +91,7 @@
     target.resetInsteadOfResponse = true;
     testBed.start(1, false);
     serve(makeRequest("r1", "POST", "x"));
-    const auto failed = lineOf("entry", "attempt-failed", { "request", "target", "outcome", "status", "reason", "newConnection", "lastedMs" });
+    const auto failed = lineOf("entry", "attempt-failed", { "request", "target", "outcome", "status", "reason", "retryAfter", "newConnection", "lastedMs" });
     CHECK_EQUAL(std::string("broken"), failed.at("outcome").get<std::string>());
     CHECK_EQUAL(std::string("outcome-unknown"), lineOf("entry", "answered", {}).at("reason").get<std::string>());
 }
