Recognise crashed targets whose listening socket outlives their connections

Cause: after an attempt without a response the daemon opened a connection to the target and took its acceptance for life. The kernel ends the connections of a dying process before it closes the listening socket, so that the check raced with the end of the process; a relay before the target accepts in its place.

Change: the connection has to last for 250 ms. One that ends early is opened again up to three times, with growing delays; a target that refuses a connection or ends them all is dead.

--- a/packages/proxy/include/flamingowick/proxy/TargetConnections.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetConnections.h
@@ -45,7 +45,7 @@
 
 using AttemptHandler = std::function<void(AttemptResult)>;
 class TargetConnection;
-class ListeningCheck;
+class LivenessCheck;
 
 class TargetConnections {
 public:
@@ -62,9 +62,10 @@
     // called. Unknown numbers are ignored.
     void cancel(std::uint64_t attempt);
 
-    // Opens a connection to the address and closes it again. The handler is called once, after this function has
-    // returned, with whether the target accepted the connection in time; it isn't called after the destructor.
-    void checkListening(std::string_view address, std::function<void(bool)> handler);
+    // Finds out whether the target at the address is alive, by a connection that must last for 250 ms. The handler is
+    // called once, after this function has returned: with false when a connection fails or several end early, which
+    // takes at most about two seconds. It isn't called after the destructor.
+    void checkAlive(std::string address, std::function<void(bool)> handler);
 
     // Whether an idle connection to the instance can be reused for a request.
     bool hasIdle(const std::string& instance, bool idempotent) const;
@@ -77,13 +78,13 @@
 
 private:
     friend class TargetConnection;
-    friend class ListeningCheck;
+    friend class LivenessCheck;
 
     asio::io_context& context;
     HeaderNames headerNames;
     std::unordered_map<std::string, std::vector<std::shared_ptr<TargetConnection>>> idleConnections;
     std::unordered_map<std::uint64_t, std::shared_ptr<TargetConnection>> activeConnections;
-    std::unordered_set<std::shared_ptr<ListeningCheck>> listeningChecks;
+    std::unordered_set<std::shared_ptr<LivenessCheck>> livenessChecks;
     std::uint64_t lastAttempt { 0 };
     std::uint64_t connectionsOpened { 0 };
 };
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -469,13 +469,12 @@
         this->scheduleTimer();
 }
 
-// A connection may also end because the target closed it while idle or resets some connections. A target that no longer
-// accepts connections has ended.
+// A connection may also end because the target closed it while idle or resets some connections.
 void ActiveRequest::checkForCrash(const Attempt& attempt)
 {
-    this->context.links.checkListening(attempt.address, [&log = this->context.log, &quarantine = this->context.quarantine, fingerprint = this->fingerprint, id = this->requestId, instance = attempt.instance, startedAt = attempt.startedAt, endedAt = Clock::now()](bool listening) {
-        log.write(EventScope::Request, "entry", "crash-checked", EventFields().text("request", id).text("target", instance).flag("listening", listening).milliseconds("tookMs", Clock::now() - endedAt));
-        if (!listening)
+    this->context.links.checkAlive(attempt.address, [&log = this->context.log, &quarantine = this->context.quarantine, fingerprint = this->fingerprint, id = this->requestId, instance = attempt.instance, startedAt = attempt.startedAt, endedAt = Clock::now()](bool alive) {
+        log.write(EventScope::Request, "entry", "crash-checked", EventFields().text("request", id).text("target", instance).flag("alive", alive).milliseconds("tookMs", Clock::now() - endedAt));
+        if (!alive)
             quarantine.handleCrash({ { fingerprint, instance }, Clock::now() - startedAt }, id);
     });
 }
--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -4,6 +4,7 @@
 #include <asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace flamingowick::proxy {
@@ -21,6 +22,13 @@
     constexpr double idempotentReuseShare = 0.8;
     constexpr double nonIdempotentReuseShare = 0.6;
     constexpr std::size_t maxIdlePerInstance = 4;
+    // How long a connection must last to show that its target is alive. A process closes all its sockets within
+    // milliseconds, on a busy VM within tens of them.
+    constexpr Duration livenessHoldTime { std::chrono::milliseconds(250) };
+    // Connections that may end early before the target counts as dead, and the delay before the second, which doubles
+    // each time: a live target that is short of connections resets some, but not all for most of a second.
+    constexpr unsigned maxEndedLivenessConnections = 4;
+    constexpr Duration firstLivenessRetryDelay { std::chrono::milliseconds(50) };
 
     Duration announcedIdleTimeout(const HttpMessage& response)
     {
@@ -282,32 +290,40 @@
     bool closed { false };
 };
 
-class ListeningCheck : public std::enable_shared_from_this<ListeningCheck> {
+// Finds out whether a target is alive after it has ended a connection. Accepting a connection is no proof: the kernel
+// ends the connections of a dying process before it closes the listening socket, and a relay accepts in place of a
+// target that is gone. A connection therefore has to last.
+class LivenessCheck : public std::enable_shared_from_this<LivenessCheck> {
 public:
-    ListeningCheck(TargetConnections& connections, std::function<void(bool)> checkHandler)
+    LivenessCheck(TargetConnections& connections, std::string targetAddress, std::function<void(bool)> checkHandler)
         : owner(connections)
+        , address(std::move(targetAddress))
         , socket(connections.context)
         , timer(connections.context)
         , handler(std::move(checkHandler))
     {
     }
 
-    void start(std::string_view address)
+    void start()
     {
         asio::ip::tcp::endpoint endpoint;
         try {
-            endpoint = parseTcpEndpoint(address);
+            endpoint = parseTcpEndpoint(this->address);
         } catch (const std::exception&) {
             asio::post(this->owner.context, [self = this->shared_from_this()] { self->finish(false); });
             return;
         }
         ++this->owner.connectionsOpened;
-        this->timer.expires_after(connectTimeout);
-        this->timer.async_wait([self = this->shared_from_this()](const asio::error_code& error) {
-            if (!error)
+        this->socket = asio::ip::tcp::socket(this->owner.context);
+        this->finishAfter(connectTimeout, false);
+        this->socket.async_connect(endpoint, [self = this->shared_from_this()](const asio::error_code& error) {
+            if (!self->handler)
+                return;
+            if (error)
                 self->finish(false);
+            else
+                self->awaitEnd();
         });
-        this->socket.async_connect(endpoint, [self = this->shared_from_this()](const asio::error_code& error) { self->finish(!error); });
     }
 
     // Ends the check without a result.
@@ -320,21 +336,62 @@
     }
 
 private:
-    void finish(bool listening)
+    void awaitEnd()
+    {
+        this->finishAfter(livenessHoldTime, true);
+        this->socket.async_read_some(asio::buffer(this->inputBuffer), [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
+            if (!self->handler)
+                return;
+            if (!error)
+                self->finish(true);
+            else
+                self->handleEnd();
+        });
+    }
+
+    void handleEnd()
+    {
+        ++this->endedConnections;
+        if (this->endedConnections == maxEndedLivenessConnections) {
+            this->finish(false);
+            return;
+        }
+        asio::error_code ignored;
+        this->socket.close(ignored);
+        this->timer.expires_after(firstLivenessRetryDelay * (1U << (this->endedConnections - 1)));
+        this->timer.async_wait([self = this->shared_from_this()](const asio::error_code& error) {
+            if (!error && self->handler)
+                self->start();
+        });
+    }
+
+    void finishAfter(Duration delay, bool alive)
+    {
+        this->timer.expires_after(delay);
+        this->timer.async_wait([self = this->shared_from_this(), alive](const asio::error_code& error) {
+            if (!error)
+                self->finish(alive);
+        });
+    }
+
+    void finish(bool alive)
     {
         if (!this->handler)
             return;
-        const std::shared_ptr<ListeningCheck> self = this->shared_from_this();
+        const std::shared_ptr<LivenessCheck> self = this->shared_from_this();
         const std::function<void(bool)> completion = std::move(this->handler);
         this->cancel();
-        this->owner.listeningChecks.erase(self);
-        completion(listening);
+        this->owner.livenessChecks.erase(self);
+        completion(alive);
     }
 
     TargetConnections& owner;
+    std::string address;
     asio::ip::tcp::socket socket;
     Timer timer;
     std::function<void(bool)> handler;
+    std::array<char, 1> inputBuffer {};
+    unsigned endedConnections { 0 };
 };
 
 TargetConnections::TargetConnections(asio::io_context& ioContext, HeaderNames headerNames)
@@ -351,7 +408,7 @@
     }
     for (auto& [attempt, connection] : this->activeConnections)
         connection->close();
-    for (const auto& check : this->listeningChecks)
+    for (const auto& check : this->livenessChecks)
         check->cancel();
 }
 
@@ -388,11 +445,11 @@
     connection->close();
 }
 
-void TargetConnections::checkListening(std::string_view address, std::function<void(bool)> handler)
+void TargetConnections::checkAlive(std::string address, std::function<void(bool)> handler)
 {
-    const auto check = std::make_shared<ListeningCheck>(*this, std::move(handler));
-    this->listeningChecks.insert(check);
-    check->start(address);
+    const auto check = std::make_shared<LivenessCheck>(*this, std::move(address), std::move(handler));
+    this->livenessChecks.insert(check);
+    check->start();
 }
 
 bool TargetConnections::hasIdle(const std::string& instance, bool idempotent) const
--- a/packages/proxy/tests/ProxyTestBed.h
+++ b/packages/proxy/tests/ProxyTestBed.h
@@ -56,6 +56,8 @@
     std::string crashMark;
     // How long a crashed target refuses connections.
     Duration crashDowntime { milliseconds(50) };
+    // How long a crashed target, whose connections have ended, still accepts new ones, as a dying process does.
+    Duration acceptTimeAfterCrash { 0 };
     unsigned crashes { 0 };
 
 private:
@@ -133,12 +135,32 @@
     void crash()
     {
         ++this->crashes;
-        this->acceptor.close();
+        this->resetConnections();
+        if (this->acceptTimeAfterCrash == Duration::zero()) {
+            this->stayDown();
+            return;
+        }
+        this->restartTimer.expires_after(this->acceptTimeAfterCrash);
+        this->restartTimer.async_wait([this](const asio::error_code& error) {
+            if (error)
+                return;
+            this->resetConnections();
+            this->stayDown();
+        });
+    }
+
+    void resetConnections()
+    {
         for (const std::weak_ptr<Connection>& item : this->openConnections) {
             if (const std::shared_ptr<Connection> connection = item.lock(); connection && connection->socket.is_open())
                 connection->reset();
         }
         this->openConnections.clear();
+    }
+
+    void stayDown()
+    {
+        this->acceptor.close();
         this->restartTimer.expires_after(this->crashDowntime);
         this->restartTimer.async_wait([this](const asio::error_code& error) {
             if (error)
--- a/packages/proxy/tests/unit-crashing-requests.cpp
+++ b/packages/proxy/tests/unit-crashing-requests.cpp
@@ -75,6 +75,19 @@
     CHECK_EQUAL(200, send(0, "wholesome").status);
 }
 
+// Guards against crashes being missed because a dying process still accepts the connection that checks on it.
+TEST(CrashingRequests, AreRecognisedThoughTheTargetsListenForAMomentAfterTheirConnectionsEnded)
+{
+    startFleet(4, false);
+    for (const auto& target : testBed.targets) {
+        target->acceptTimeAfterCrash = milliseconds(5);
+        target->crashDowntime = milliseconds(300);
+    }
+    sendRepeatedly("poison", 20);
+    CHECK_COMPARE(crashes(), <=, allowedCrashes);
+    CHECK_EQUAL(200, send(0, "wholesome").status);
+}
+
 TEST(CrashingRequests, AreRefusedAtOnceWithTheTimeLeft)
 {
     startFleet(2, false);
