Hold off targets that reject a request with 503 and Retry-After

Cause: nothing read the header of a target's response. A rejection counted as weak evidence that the target fails, and the dispatcher granted its slots again.

Change: the daemon keeps the end of that time in its directory of targets, for the target's incarnation. Grant requests name the targets that hold off as excluded, a grant that is on its way is returned unused, and when all targets of a service hold off the caller gets 503 at once with the soonest end.

--- a/packages/ctl/src/RequestStory.cpp
+++ b/packages/ctl/src/RequestStory.cpp
@@ -86,6 +86,8 @@
         return "entry: no answer after " + field(line, "ageMs") + " ms, which is unusual: asks for a second target";
     if (is("grant-declined"))
         return "entry: doesn't use the grant of " + field(line, "target") + ": " + field(line, "reason");
+    if (is("held-off"))
+        return "entry: " + field(line, "target") + " wants no requests from this daemon for " + field(line, "forMs") + " ms";
     if (is("member-silent"))
         return "fleet: " + field(line, "member") + " does not answer and is passed over";
     if (is("answered"))
--- a/packages/proxy/include/flamingowick/proxy/TargetConnections.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetConnections.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -39,6 +40,10 @@
     bool endedWithoutResponse { false };
     // Set only when a complete response was received.
     HttpMessage response;
+    // How long the target wants no further request from this daemon, as its 503 response says.
+    std::optional<Duration> holdOff {};
+    // The 503 response has a Retry-After that can't be read.
+    bool holdOffUnreadable { false };
     // Why the attempt failed, for logs; empty otherwise.
     std::string reason;
 };
@@ -93,4 +98,8 @@
 // a Content-Encoding is ConnectionBroken; so is a 2xx response that isn't signed or doesn't carry the request's ID.
 grants::AttemptOutcome classifyResponse(const HttpMessage& response, const HeaderNames&, std::string_view requestId);
 
+// Reads a Retry-After header in seconds, which may include fractions; an hour at most, since a longer time is more likely
+// a fault of the target. None if it is anything else, such as a date or a negative number.
+std::optional<Duration> parseRetryAfter(std::string_view value) noexcept;
+
 }
--- a/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
@@ -39,6 +39,9 @@
     // Set when the entry was removed but its target is kept until this time; TimePoint::max() while the end of a store
     // outage is awaited.
     std::optional<TimePoint> graceEndsAt;
+    // Until when the target wants no requests from this daemon; none if it has not said so. Lasts as long as the entry
+    // and the target's incarnation.
+    std::optional<TimePoint> heldOffUntil {};
 };
 
 struct TargetDirectory {
@@ -85,7 +88,18 @@
 // Returns the number of targets of a service, leaving ones included. Linear in all entries.
 std::size_t countTargets(const TargetDirectory&, std::string_view service);
 
-// Returns whether new requests may be sent to the instance: it is listed and not leaving. Logarithmic.
-bool acceptsRequests(const TargetDirectory&, std::string_view instance);
+// Records that a target wants no requests from this daemon before the given time. An end that is later already stays.
+// Ignored if the instance isn't listed or has restarted since startedAt. Logarithmic.
+void holdOff(TargetDirectory&, std::string_view instance, std::int64_t startedAt, TimePoint until);
+
+// Returns whether the target wants no requests from this daemon at this time. Never throws.
+bool isHeldOff(const DirectoryEntry&, TimePoint now) noexcept;
+
+// Returns whether new requests may be sent to the instance: it is listed, not leaving and not held off. Logarithmic.
+bool acceptsRequests(const TargetDirectory&, std::string_view instance, TimePoint now);
+
+// Returns the soonest end of the time for which the service's targets are held off. None if a target accepts requests,
+// or if all are leaving. Linear in all entries.
+std::optional<TimePoint> soonestHoldOffEnd(const TargetDirectory&, std::string_view service, TimePoint now);
 
 }
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -38,6 +38,7 @@
     constexpr Duration hedgeRetryDelay { milliseconds(60) };
     // Instances with an idle connection that a grant request lists at most; it must fit into one datagram.
     constexpr std::size_t maxIdleInstancesSent = 12;
+    constexpr std::size_t maxHeldOffInstancesSent = 16;
     // Bytes of a target's header that a log line contains at most.
     constexpr std::size_t maxLoggedHeaderBytes = 32;
     // Groups that may refuse a request before the caller gets the refusal.
@@ -121,8 +122,9 @@
 std::vector<std::string> ActiveRequest::instancesWithIdleConnection() const
 {
     std::vector<std::string> idleInstances;
+    const TimePoint now = Clock::now();
     for (const auto& [instance, known] : this->context.directory.entries) {
-        if (known.entry.service == this->service && !known.entry.target.leaving && this->context.links.hasIdle(instance, this->route.idempotent))
+        if (known.entry.service == this->service && !known.entry.target.leaving && !isHeldOff(known, now) && this->context.links.hasIdle(instance, this->route.idempotent))
             idleInstances.push_back(instance);
     }
     return idleInstances;
@@ -173,10 +175,31 @@
 
 void ActiveRequest::requestGrant(bool isRetry)
 {
+    // While attempts are in flight the request may still be served.
+    if (const std::optional<TimePoint> end = soonestHoldOffEnd(this->context.directory, this->service, Clock::now()); end && this->attempts.empty()) {
+        this->lastFailureReason = "held-off";
+        this->respondWithFailure(*end - Clock::now());
+        return;
+    }
     this->prepareGrantRequest(isRetry);
     this->sendGrantRequest();
 }
 
+void ActiveRequest::appendHeldOffInstances(std::string_view group, std::vector<std::string>& instances) const
+{
+    const std::optional<TargetGroup> parsed = parseGroup(group);
+    const TimePoint now = Clock::now();
+    std::size_t appended = 0;
+    for (const auto& [instance, known] : this->context.directory.entries) {
+        if (appended == maxHeldOffInstancesSent)
+            return;
+        if (parsed && known.entry.service == parsed->service && isHeldOff(known, now) && isInGroup(*parsed, instance)) {
+            instances.push_back(instance);
+            ++appended;
+        }
+    }
+}
+
 GrantRequestMessage ActiveRequest::grantRequestMessage() const
 {
     GrantRequestMessage message;
@@ -195,6 +218,7 @@
     request.latencyObjective = this->route.latencyObjective;
     request.failureDomain = this->context.settings.failureDomain;
     request.excludedInstances = this->triedInstances;
+    this->appendHeldOffInstances(message.group, request.excludedInstances);
     request.idleConnectionInstances = this->pendingGrant->idleConnectionInstances;
     return message;
 }
@@ -284,13 +308,15 @@
 
 void ActiveRequest::handleGranted(const grants::Decision& decision, const std::string& dispatcher)
 {
-    const Attempt attempt { this->pendingGrant->number, decision.instance, {}, this->pendingGrant->group, dispatcher, 0, Clock::now() };
+    const Attempt attempt { this->pendingGrant->number, decision.instance, {}, this->pendingGrant->group, dispatcher, 0, 0, Clock::now() };
     const bool isRetry = this->pendingGrant->isRetry;
     this->entry.pendingGrantRequests.erase(this->pendingGrant->number);
     this->pendingGrant.reset();
-    if (!acceptsRequests(this->context.directory, decision.instance)) {
-        // The dispatcher's list is out of date: here the target is leaving or no longer listed.
-        this->context.log.write(EventScope::Request, "entry", "grant-declined", EventFields().text("request", this->requestId).text("target", decision.instance).text("dispatcher", dispatcher).text("reason", "not-listed"));
+    if (!acceptsRequests(this->context.directory, decision.instance, Clock::now())) {
+        // The dispatcher's list is out of date, or the target holds off this daemon, which others don't know.
+        const auto known = this->context.directory.entries.find(decision.instance);
+        const bool heldOff = known != this->context.directory.entries.end() && isHeldOff(known->second, Clock::now());
+        this->context.log.write(EventScope::Request, "entry", "grant-declined", EventFields().text("request", this->requestId).text("target", decision.instance).text("dispatcher", dispatcher).text("reason", heldOff ? "held-off" : "not-listed"));
         this->reportAttemptEnd(attempt, AttemptOutcome::Abandoned, Duration::zero());
         this->triedInstances.push_back(decision.instance);
         this->requestGrant(isRetry);
@@ -323,6 +349,7 @@
     attempt.address = spec.address;
     attempt.group = groupName(groupOf(this->service, decision.instance, this->targetGroupCount()));
     attempt.dispatcher = dispatcher;
+    attempt.targetStartedAt = target.startedAt;
     attempt.startedAt = now;
     this->triedInstances.push_back(decision.instance);
     ++this->sentCount;
@@ -355,9 +382,9 @@
 bool ActiveRequest::hasUntriedTarget() const
 {
     const auto& entries = this->context.directory.entries;
-    return std::any_of(entries.begin(), entries.end(), [this](const auto& item) {
+    return std::any_of(entries.begin(), entries.end(), [this, now = Clock::now()](const auto& item) {
         const TargetEntry& known = item.second.entry;
-        return known.service == this->service && !known.target.leaving && std::find(this->triedInstances.begin(), this->triedInstances.end(), item.first) == this->triedInstances.end();
+        return known.service == this->service && !known.target.leaving && !isHeldOff(item.second, now) && std::find(this->triedInstances.begin(), this->triedInstances.end(), item.first) == this->triedInstances.end();
     });
 }
 
@@ -448,6 +475,8 @@
         this->context.quarantine.handleSurvival(this->fingerprint);
     if (result.endedWithoutResponse)
         this->checkForCrash(attempt);
+    if (result.holdOff || result.holdOffUnreadable)
+        this->recordHoldOff(attempt, result);
     if (result.outcome == AttemptOutcome::Succeeded) {
         this->forwardResponse(result.response);
         return;
@@ -479,6 +508,19 @@
     });
 }
 
+void ActiveRequest::recordHoldOff(const Attempt& attempt, const AttemptResult& result)
+{
+    EventFields fields;
+    fields.text("request", this->requestId).text("target", attempt.instance);
+    if (result.holdOffUnreadable) {
+        this->context.log.write(EventScope::Request, "entry", "hold-off-unreadable", fields.text("retryAfter", headerValue(result.response, "retry-after").substr(0, maxLoggedHeaderBytes)));
+        return;
+    }
+    holdOff(this->context.directory, attempt.instance, attempt.targetStartedAt, Clock::now() + *result.holdOff);
+    this->context.metrics.increment("flamingowick_hold_offs_total", serviceLabel(this->service));
+    this->context.log.write(EventScope::Request, "entry", "held-off", fields.milliseconds("forMs", *result.holdOff));
+}
+
 bool ActiveRequest::mayRetry() const
 {
     return !this->context.quarantine.refusedFor(this->fingerprint) && (this->route.idempotent || !this->mayHaveExecuted) && this->sentCount < std::max(1U, this->route.maxAttempts) && this->deadline - Clock::now() > minAttemptTime;
--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -50,6 +50,8 @@
         std::string address;
         std::string group;
         std::string dispatcher;
+        // Start of the target's incarnation, as TargetEntry::startedAt.
+        std::int64_t targetStartedAt { 0 };
         // Identifies the attempt to TargetConnections::cancel().
         std::uint64_t connectionAttempt { 0 };
         TimePoint startedAt;
@@ -65,6 +67,8 @@
     // Sends the pending grant request to the local pool.
     void decideLocally();
     GrantRequestMessage grantRequestMessage() const;
+    // Appends the group's targets that are held off, up to a limit; grants for further ones are declined.
+    void appendHeldOffInstances(std::string_view group, std::vector<std::string>& instances) const;
     // Cancels the pending grant request, if any, at its dispatcher.
     void abandonGrantRequest();
     void handleGranted(const grants::Decision&, const std::string& dispatcher);
@@ -74,6 +78,8 @@
     bool respondIfQuarantined();
     // Finds out whether the target of an attempt without a response has crashed, and reports that.
     void checkForCrash(const Attempt&);
+    // Keeps this daemon's requests from a target that has rejected one and named a time.
+    void recordHoldOff(const Attempt&, const AttemptResult&);
     void sendAttempt(const grants::Decision&, const std::string& dispatcher);
     void handleAttemptEnd(std::uint64_t number, AttemptResult);
     // Reports the end to the local pool, to the dispatcher that granted the attempt and to the current one.
--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace flamingowick::proxy {
 
@@ -57,6 +58,16 @@
     return response.status >= 500 || response.status == 429 || response.status == 408 ? grants::AttemptOutcome::Failed : grants::AttemptOutcome::Succeeded;
 }
 
+std::optional<Duration> parseRetryAfter(std::string_view value) noexcept
+{
+    constexpr double maxSeconds = 3600;
+    double number = 0;
+    const auto result = std::from_chars(value.data(), value.data() + value.size(), number, std::chars_format::fixed);
+    if (value.empty() || result.ec != std::errc() || result.ptr != value.data() + value.size() || !std::isfinite(number) || std::signbit(number))
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(number, maxSeconds)));
+}
+
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
 public:
     TargetConnection(TargetConnections& connections, std::string targetInstance)
@@ -220,6 +231,10 @@
         result.outcome = classifyResponse(result.response, this->owner.headerNames, this->spec.requestId);
         if (result.outcome == grants::AttemptOutcome::ConnectionBroken)
             result.reason = "unproven";
+        if (const std::string_view retryAfter = headerValue(result.response, "retry-after"); result.response.status == 503 && !retryAfter.empty()) {
+            result.holdOff = parseRetryAfter(retryAfter);
+            result.holdOffUnreadable = !result.holdOff;
+        }
         const bool reuse = !this->mustClose && !this->writing && result.response.keepAlive && result.outcome != grants::AttemptOutcome::ConnectionBroken && result.outcome != grants::AttemptOutcome::InstanceReplaced;
         this->idleTimeout = announcedIdleTimeout(result.response);
         this->finishAttempt(std::move(result), reuse);
--- a/packages/proxy/src/TargetDirectory.cpp
+++ b/packages/proxy/src/TargetDirectory.cpp
@@ -33,12 +33,14 @@
     void putEntry(TargetDirectory& directory, const TargetEntry& entry, DirectoryChange& change)
     {
         const auto found = directory.entries.find(entry.target.instance);
-        DirectoryEntry next { entry, std::nullopt };
+        DirectoryEntry next { entry, std::nullopt, std::nullopt };
         if (found != directory.entries.end()) {
             const TargetEntry& known = found->second.entry;
             const bool sameIncarnation = known.startedAt == entry.startedAt && known.target.address == entry.target.address;
             if (sameIncarnation && known.target.leaving)
                 next.entry.target.leaving = true;
+            if (sameIncarnation)
+                next.heldOffUntil = found->second.heldOffUntil;
             if (!sameIncarnation)
                 change.dropped.push_back(entry.target.instance);
             change.changedServices.insert(known.service);
@@ -142,10 +144,37 @@
     return static_cast<std::size_t>(std::count_if(directory.entries.begin(), directory.entries.end(), [service](const auto& item) { return item.second.entry.service == service; }));
 }
 
-bool acceptsRequests(const TargetDirectory& directory, std::string_view instance)
+void holdOff(TargetDirectory& directory, std::string_view instance, std::int64_t startedAt, TimePoint until)
 {
     const auto found = directory.entries.find(instance);
-    return found != directory.entries.end() && !found->second.entry.target.leaving;
+    if (found == directory.entries.end() || found->second.entry.startedAt != startedAt)
+        return;
+    std::optional<TimePoint>& heldOffUntil = found->second.heldOffUntil;
+    heldOffUntil = std::max(heldOffUntil.value_or(until), until);
+}
+
+bool isHeldOff(const DirectoryEntry& known, TimePoint now) noexcept
+{
+    return known.heldOffUntil && now < *known.heldOffUntil;
+}
+
+bool acceptsRequests(const TargetDirectory& directory, std::string_view instance, TimePoint now)
+{
+    const auto found = directory.entries.find(instance);
+    return found != directory.entries.end() && !found->second.entry.target.leaving && !isHeldOff(found->second, now);
+}
+
+std::optional<TimePoint> soonestHoldOffEnd(const TargetDirectory& directory, std::string_view service, TimePoint now)
+{
+    std::optional<TimePoint> soonest;
+    for (const auto& [instance, known] : directory.entries) {
+        if (known.entry.service != service || known.entry.target.leaving)
+            continue;
+        if (!isHeldOff(known, now))
+            return std::nullopt;
+        soonest = std::min(soonest.value_or(TimePoint::max()), *known.heldOffUntil);
+    }
+    return soonest;
 }
 
 }
--- a/packages/proxy/tests/unit-parts.cpp
+++ b/packages/proxy/tests/unit-parts.cpp
@@ -76,16 +76,16 @@
 {
     write({ makeEntry("t", true) });
     write({ makeEntry("t") });
-    CHECK_FALSE(acceptsRequests(directory, "t"));
+    CHECK_FALSE(acceptsRequests(directory, "t", now));
     write({ makeEntry("t", false, 2) });
-    CHECK(acceptsRequests(directory, "t"));
+    CHECK(acceptsRequests(directory, "t", now));
 }
 
 TEST(Directory, ASingleTargetWhoseEntryIsRemovedIsDroppedAtOnce)
 {
     addTargets(6);
     CHECK_EQUAL(1, remove({ "t3" }).dropped.size());
-    CHECK_FALSE(acceptsRequests(directory, "t3"));
+    CHECK_FALSE(acceptsRequests(directory, "t3", now));
 }
 
 TEST(Directory, EntriesRemovedDuringAStoreOutageAreKeptForAGracePeriodAfterIt)
@@ -107,7 +107,7 @@
     addTargets(6);
     markStoreUnavailable(directory);
     CHECK_EQUAL(1, applyEntryChanges(directory, {}, std::vector<std::string> { "t4" }, now, seconds(5)).dropped.size());
-    CHECK_FALSE(acceptsRequests(directory, "t4"));
+    CHECK_FALSE(acceptsRequests(directory, "t4", now));
 }
 
 TEST(Directory, TheGraceForExpiredEntriesCountsFromTheReconnectionOfTheSender)
@@ -118,7 +118,7 @@
     now += seconds(1);
     // This daemon reconnects to the store two seconds after the sender of the removal did.
     markStoreAvailable(directory, now);
-    CHECK(acceptsRequests(directory, "t3"));
+    CHECK(acceptsRequests(directory, "t3", now));
     now += milliseconds(400);
     CHECK_EQUAL(1, expireEntries(directory, now).dropped.size());
 }
@@ -132,7 +132,7 @@
     write({ makeEntry("t3") });
     now += seconds(10);
     CHECK_EQUAL(0, expireEntries(directory, now).dropped.size());
-    CHECK(acceptsRequests(directory, "t3"));
+    CHECK(acceptsRequests(directory, "t3", now));
 }
 
 TEST(Directory, EntriesRemovedInAMassLossAreKeptForAGracePeriod)
@@ -157,7 +157,7 @@
 {
     write({ makeEntry("t") });
     CHECK_EQUAL(1, write({ makeEntry("t", false, 2) }).dropped.size());
-    CHECK(acceptsRequests(directory, "t"));
+    CHECK(acceptsRequests(directory, "t", now));
 }
 
 TEST_GROUP(Members)
