Keep a service's retries within its budget whoever dispatches for it

What it does to targets: more retries than the ratio of the requests and the slack allow, when several daemons dispatch for one group within a window.

Cause: the budget belonged to a pool, not to the service. A new pool started with half of its burst, so that 32 dispatchers that take over in turn grant 352 retries for a slack of 56. Each grant request that was not a retry added credit, so that one request earned it again at each dispatcher and group that it asked and after each target that couldn't be reached (12.2 tokens where 10 requests earn 3). Dispatchers that were passed over kept their tokens.

Change: a grant request carries the credit of its caller's request, in one message only; a new bucket starts with one token; a daemon that is no longer the first dispatcher of a group gives up the group's tokens. Two dispatchers that both believe to be first still add up, for which each gets 0.4 of the burst.

--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -50,6 +50,9 @@
     std::uint64_t workload { 0 };
     // The attempt is not the request's first: a retry or a hedge.
     bool isRetry { false };
+    // The request adds to the retry budget. An entry sets this in one message for each of its caller's requests, however
+    // many dispatchers and groups it asks.
+    bool earnsRetryCredit { false };
     // Time by which the attempt has to end.
     TimePoint deadline;
     // The caller's latency objective, counted from the request's arrival.
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -402,12 +402,10 @@
         return {};
     if (request.idempotent)
         pool.lastIdempotentAt = now;
-    if (request.isRetry) {
-        if (pool.retryBudget.tokens < 1)
-            return { refuse(pool, request, RefusalReason::RetryBudgetExhausted, Duration::zero(), now) };
-    } else {
+    if (request.earnsRetryCredit)
         depositRetryCredit(pool.retryBudget);
-    }
+    if (request.isRetry && pool.retryBudget.tokens < 1)
+        return { refuse(pool, request, RefusalReason::RetryBudgetExhausted, Duration::zero(), now) };
     const Choice choice = chooseTarget(pool, request, now);
     if (choice.target) {
         if (request.isRetry)
--- a/packages/grants/tests/Fixture.h
+++ b/packages/grants/tests/Fixture.h
@@ -32,6 +32,15 @@
         request.deadline = this->now + timeLeft;
         request.latencyObjective = milliseconds(600);
         request.failureDomain = "a";
+        request.earnsRetryCredit = true;
+        return request;
+    }
+
+    GrantRequest makeRetry()
+    {
+        GrantRequest request = this->makeRequest();
+        request.isRetry = true;
+        request.earnsRetryCredit = false;
         return request;
     }
 
--- a/packages/grants/tests/LoadSimulation.cpp
+++ b/packages/grants/tests/LoadSimulation.cpp
@@ -153,6 +153,7 @@
             grantRequest.attemptId = { 1, ++this->lastAttemptNumber };
             grantRequest.priority = request.priority;
             grantRequest.isRetry = isRetry;
+            grantRequest.earnsRetryCredit = !isRetry;
             grantRequest.idempotent = request.idempotent;
             grantRequest.deadline = timeAt(request.deadline);
             grantRequest.latencyObjective = durationOf(this->load.objectiveSeconds);
--- a/packages/grants/tests/unit-pool.cpp
+++ b/packages/grants/tests/unit-pool.cpp
@@ -339,21 +339,47 @@
     fixture.listTargets(50);
     setRetryBudget(fixture.pool.retryBudget, 0.2, 4);
     unsigned granted = 0;
-    for (int count = 0; count < 10; ++count) {
-        GrantRequest request = fixture.makeRequest();
-        request.isRetry = true;
-        granted += fixture.decide(request)->kind == DecisionKind::Granted ? 1 : 0;
-    }
-    CHECK_EQUAL(2, granted);
+    for (int count = 0; count < 10; ++count)
+        granted += fixture.decide(fixture.makeRetry())->kind == DecisionKind::Granted ? 1 : 0;
+    CHECK_EQUAL(1, granted);
     for (int count = 0; count < 5; ++count)
         fixture.decide(fixture.makeRequest());
-    GrantRequest request = fixture.makeRequest();
-    request.isRetry = true;
-    CHECK(fixture.decide(request)->kind == DecisionKind::Granted);
+    CHECK(fixture.decide(fixture.makeRetry())->kind == DecisionKind::Granted);
+}
+
+// Guards against a request earning credit for retries at each dispatcher and group that it is asked of.
+TEST(Pool, AddsToTheRetryBudgetOnlyByRequestsThatCarryCredit)
+{
+    fixture.listTargets(50);
+    setRetryBudget(fixture.pool.retryBudget, 0.2, 4);
+    CHECK(fixture.decide(fixture.makeRetry())->kind == DecisionKind::Granted);
+    for (int count = 0; count < 20; ++count) {
+        GrantRequest again = fixture.makeRequest();
+        again.earnsRetryCredit = false;
+        fixture.decide(again);
+    }
+    CHECK(fixture.decide(fixture.makeRetry())->reason == RefusalReason::RetryBudgetExhausted);
 }
 
 TEST_GROUP(Retries) {};
 
+// Guards against the retries of one service growing with the number of dispatchers that serve it within a window.
+TEST(Retries, OfDispatchersThatTakeOverOneAfterTheOtherStayWithinTheBurst)
+{
+    constexpr double serviceBurst = 56;
+    // The share of the service's burst that each dispatcher may use.
+    constexpr double share = 0.4;
+    constexpr int dispatchers = 32;
+    int retries = 0;
+    for (int dispatcher = 0; dispatcher < dispatchers; ++dispatcher) {
+        RetryBudget budget;
+        setRetryBudget(budget, 0.2, share * serviceBurst);
+        while (takeRetryToken(budget))
+            ++retries;
+    }
+    CHECK_COMPARE(retries, <=, serviceBurst);
+}
+
 TEST(Retries, StayWithinRatioAndBurstInAnyWindow)
 {
     RetryBudget budget;
@@ -367,14 +393,14 @@
     }
 }
 
-TEST(Retries, StartWithHalfOfTheBurst)
+TEST(Retries, StartWithOneToken)
 {
     RetryBudget budget;
     setRetryBudget(budget, 0.2, 20);
     unsigned taken = 0;
     while (takeRetryToken(budget))
         ++taken;
-    CHECK_EQUAL(10, taken);
+    CHECK_EQUAL(1, taken);
 }
 
 TEST_GROUP(Splits) {};
--- a/packages/grants/tests/unit-schedules.cpp
+++ b/packages/grants/tests/unit-schedules.cpp
@@ -42,6 +42,7 @@
         GrantRequest request = this->fixture.makeRequest(milliseconds(*rc::gen::inRange(50, 4000)));
         request.priority = *rc::gen::inRange(0U, 3U);
         request.isRetry = *rc::gen::inRange(0, 4) == 0;
+        request.earnsRetryCredit = !request.isRetry;
         request.idempotent = *rc::gen::arbitrary<bool>();
         this->undecided.insert(request.attemptId);
         this->applyDecisions(requestGrant(this->fixture.pool, request, this->fixture.now));
--- a/packages/proxy/include/flamingowick/proxy/DispatcherHost.h
+++ b/packages/proxy/include/flamingowick/proxy/DispatcherHost.h
@@ -43,6 +43,9 @@
     // Reloads the targets of a service into its pools.
     void handleTargetChange(std::string_view service);
 
+    // Gives up the retry tokens of the groups for which the function returns false.
+    void keepRetryTokensOnlyOf(const std::function<bool(std::string_view group)>&);
+
     // Applies to a pool from its next list of targets on.
     void setRetryShare(double share) noexcept { this->retryShare = share; }
 
--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -46,6 +46,9 @@
     // Requests that are refused because they crash their targets.
     RequestQuarantine& requestQuarantine() noexcept { return *this->quarantine; }
 
+    // The pools for which this daemon dispatches.
+    const DispatcherHost& dispatcherHost() const noexcept { return *this->hostedPools; }
+
     // Called when a refusal of such a request begins or is released.
     std::function<void()> onRefusalsChange;
 
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -200,7 +200,7 @@
     }
 }
 
-GrantRequestMessage ActiveRequest::grantRequestMessage() const
+GrantRequestMessage ActiveRequest::makeGrantRequest()
 {
     GrantRequestMessage message;
     message.number = this->pendingGrant->number;
@@ -212,6 +212,8 @@
     request.requestId = this->requestId;
     request.priority = this->route.priority;
     request.isRetry = this->pendingGrant->isRetry;
+    request.earnsRetryCredit = !this->retryCreditSent;
+    this->retryCreditSent = true;
     request.idempotent = this->route.idempotent;
     request.workload = this->workload;
     request.deadline = this->deadline;
@@ -232,14 +234,14 @@
         if (name == this->context.fleet.self) {
             pending.dueAt = now + grantCheckInterval;
             pending.queued = true;
-            this->context.hostedPools.requestGrant(this->grantRequestMessage());
+            this->context.hostedPools.requestGrant(this->makeGrantRequest());
             return;
         }
         const auto member = this->context.fleet.members.find(name);
         if (pending.sendCount < maxSendsPerDispatcher && member != this->context.fleet.members.end()) {
             pending.dueAt = now + (pending.sendCount == 0 ? firstReplyTimeout : secondReplyTimeout);
             ++pending.sendCount;
-            this->context.peers.send(member->second.address, this->grantRequestMessage());
+            this->context.peers.send(member->second.address, this->makeGrantRequest());
             return;
         }
         if (markMemberSuspected(this->context.fleet, name, now)) {
@@ -268,7 +270,7 @@
     pending.dueAt = Clock::now() + grantCheckInterval;
     pending.queued = true;
     pending.dispatcherIndex = maxDispatchersTried;
-    this->context.localPools.requestGrant(this->grantRequestMessage());
+    this->context.localPools.requestGrant(this->makeGrantRequest());
 }
 
 void ActiveRequest::abandonGrantRequest()
--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -66,7 +66,7 @@
     void sendGrantRequest();
     // Sends the pending grant request to the local pool.
     void decideLocally();
-    GrantRequestMessage grantRequestMessage() const;
+    GrantRequestMessage makeGrantRequest();
     // Appends the group's targets that are held off, up to a limit; grants for further ones are declined.
     void appendHeldOffInstances(std::string_view group, std::vector<std::string>& instances) const;
     // Cancels the pending grant request, if any, at its dispatcher.
@@ -132,6 +132,8 @@
     std::optional<TimePoint> nextHedgeAt;
     // Attempts sent, without those that reached no target.
     unsigned sentCount { 0 };
+    // A grant request with this request's credit for the retry budget was sent, though it may have been lost.
+    bool retryCreditSent { false };
     // A target may have executed the request, so that it is retried only if it is idempotent.
     bool mayHaveExecuted { false };
     bool completed { false };
--- a/packages/proxy/src/DispatcherHost.cpp
+++ b/packages/proxy/src/DispatcherHost.cpp
@@ -110,6 +110,14 @@
     }
 }
 
+void DispatcherHost::keepRetryTokensOnlyOf(const std::function<bool(std::string_view group)>& isKept)
+{
+    for (auto& [name, pool] : this->poolsByGroup) {
+        if (!isKept(name))
+            grants::forfeitRetryTokens(pool.retryBudget);
+    }
+}
+
 void DispatcherHost::deliver(std::span<const grants::Decision> decisions)
 {
     for (const grants::Decision& decision : decisions)
--- a/packages/proxy/src/PeerLink.cpp
+++ b/packages/proxy/src/PeerLink.cpp
@@ -38,6 +38,7 @@
         request.requestId = wireRequest.request();
         request.priority = wireRequest.rank();
         request.isRetry = wireRequest.repeat();
+        request.earnsRetryCredit = wireRequest.earns_retry_credit();
         request.idempotent = wireRequest.idempotent();
         request.workload = wireRequest.workload();
         request.deadline = now + message.timeLeft;
@@ -108,6 +109,7 @@
     wireRequest.set_request(message.request.requestId);
     wireRequest.set_rank(message.request.priority);
     wireRequest.set_repeat(message.request.isRetry);
+    wireRequest.set_earns_retry_credit(message.request.earnsRetryCredit);
     wireRequest.set_idempotent(message.request.idempotent);
     wireRequest.set_workload(static_cast<std::uint32_t>(message.request.workload));
     wireRequest.set_left(toMilliseconds(message.timeLeft));
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -203,6 +203,11 @@
 
 void Proxy::handleFleetChange()
 {
+    // Tokens that stayed with each dispatcher that has served a group would add up when the role moves on and back.
+    this->hostedPools->keepRetryTokensOnlyOf([this](std::string_view group) {
+        const std::vector<std::string> dispatchers = dispatchersFor(this->fleet, group);
+        return !dispatchers.empty() && dispatchers.front() == this->fleet.self;
+    });
     this->scheduleLogFlush();
     if (this->onFleetChange)
         this->onFleetChange();
--- /dev/null
+++ b/packages/proxy/tests/unit-retry-credit.cpp
@@ -0,0 +1,66 @@
+#include "ProxyTestBed.h"
+
+using namespace flamingowick;
+using namespace flamingowick::proxy;
+
+// The credit that requests earn for retries of their service: once each, and at one dispatcher.
+
+TEST_GROUP(RetryCredit)
+{
+    static constexpr std::string_view group = "stock/0/1";
+    // Tokens of a new retry budget, and credit of a request.
+    static constexpr double initialTokens = 1;
+    static constexpr double ratio = 0.2;
+    static constexpr double tolerance = 1e-6;
+
+    ProxyTestBed testBed;
+
+    void addHealthyTarget()
+    {
+        testBed.addTarget([](const HttpMessage& received) { return ScriptedTarget::healthyResponse(received); });
+    }
+
+    void sendRequests(std::size_t daemon, int count)
+    {
+        for (int index = 0; index < count; ++index) {
+            auto caller = testBed.connectCaller(daemon);
+            caller->send(makeRequest("r" + std::to_string(index), "POST", "x"));
+            CHECK(testBed.runUntil([&] { return !caller->responses.empty(); }));
+        }
+    }
+
+    double tokensAt(std::size_t daemon) const
+    {
+        const auto& pools = testBed.proxies.at(daemon)->dispatcherHost().pools();
+        const auto pool = pools.find(group);
+        return pool == pools.end() ? 0 : pool->second.retryBudget.tokens;
+    }
+};
+
+// Guards against a service's retry budget growing while its requests go round targets that can't be reached.
+TEST(RetryCredit, OfARequestIsEarnedOnceThoughSeveralTargetsAreUnreachable)
+{
+    constexpr int requests = 10;
+    addHealthyTarget();
+    for (int index = 0; index < 6; ++index) {
+        addHealthyTarget();
+        testBed.entries.back().target.address = freeAddress();
+    }
+    testBed.start(1, false);
+    sendRequests(0, requests);
+    CHECK_COMPARE(tokensAt(0), <=, initialTokens + ratio * requests + tolerance);
+    CHECK(tokensAt(0) > initialTokens);
+}
+
+// Guards against the tokens of each daemon that has dispatched for a group adding up.
+TEST(RetryCredit, IsGivenUpByADispatcherWhosePredecessorIsBack)
+{
+    addHealthyTarget();
+    testBed.start(2, false);
+    const std::string first = dispatchersFor(testBed.proxies.front()->fleetState(), group).front();
+    const std::size_t other = testBed.settings.front().vm == first ? 1 : 0;
+    testBed.proxies.at(other)->handleMemberSilent(first);
+    sendRequests(other, 10);
+    CHECK(testBed.proxies.at(other)->dispatcherHost().pools().contains(group));
+    CHECK(testBed.runUntil([&] { return tokensAt(other) == 0; }));
+}
