Free slots that a dispatcher believes occupied and nobody uses

Cause: a dispatcher learns the end of an attempt from one datagram. When that is lost, when its grant reply is lost or comes after the entry has gone on to the next dispatcher, or when the entry is killed, the slot stays occupied until an age of 12 s. In the logs a dispatcher that stalled for 150 ms granted slots to requests that were by then elsewhere. Which message was missing there was not traced.

Change, in the design rather than message by message: the entry knows what it runs. A dispatcher asks it about attempts that are half a second old, and again each second, and the entry reports the end of those that it doesn't run. A dispatcher that is passed over gets the end at once, and the slots of an incarnation that has ended are freed with the first message of the next.

--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -132,6 +132,8 @@
 struct AttemptInFlight {
     TimePoint startedAt;
     std::uint64_t workload { 0 };
+    // When the entry was last asked whether the attempt is still running; none if it has not been asked.
+    std::optional<TimePoint> queriedAt {};
 };
 
 struct PooledTarget {
@@ -210,6 +212,15 @@
 // requests that can no longer be served in time. Call it periodically. Linear in the queued requests and attempts.
 std::vector<Decision> expireOverdue(TargetPool&, TimePoint now);
 
+// Returns the attempts of which the entries are to be asked whether they are still running, because they have lasted
+// longer than most or the last question is a second old. An end that was lost is known by this within about a second.
+// Linear in the attempts.
+std::vector<AttemptId> attemptsToQuery(TargetPool&, TimePoint now);
+
+// Frees the slots of an entry's attempts and removes its queued requests, because the entry has restarted. Returns grants
+// for queued requests that found a slot. Linear in the attempts and queued requests.
+std::vector<Decision> releaseEntry(TargetPool&, std::uint64_t entry, TimePoint now);
+
 // Returns the probability that a target is failing, with its attempts in flight as evidence. Linear in these.
 double failureProbability(const TargetPool&, const PooledTarget&, TimePoint now);
 
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -31,6 +31,9 @@
 
     // Age at which the slot of an attempt whose end was never reported is freed.
     constexpr Duration maxAttemptAge { seconds(12) };
+    // Age from which the entry of an attempt is asked whether it still runs, and the interval of further questions.
+    constexpr Duration firstQueryAge { milliseconds(500) };
+    constexpr Duration queryInterval { seconds(1) };
     // A queued request is refused when it can't finish by its deadline even at this quantile of the latency.
     constexpr double deadlineLatencyQuantile = 0.6;
     // A request is queued only if it is expected to finish within its objective at this quantile of the latency, or
@@ -509,4 +512,31 @@
     return decisions;
 }
 
+std::vector<AttemptId> attemptsToQuery(TargetPool& pool, TimePoint now)
+{
+    std::vector<AttemptId> due;
+    for (auto& [instance, target] : pool.targets) {
+        for (auto& [attemptId, attempt] : target.inFlight) {
+            const TimePoint dueAt = attempt.queriedAt ? *attempt.queriedAt + queryInterval : attempt.startedAt + firstQueryAge;
+            if (now < dueAt)
+                continue;
+            attempt.queriedAt = now;
+            due.push_back(attemptId);
+        }
+    }
+    return due;
+}
+
+std::vector<Decision> releaseEntry(TargetPool& pool, std::uint64_t entry, TimePoint now)
+{
+    std::erase_if(pool.queue, [entry](const auto& item) { return item.second.request.attemptId.entry == entry; });
+    std::erase_if(pool.instanceByAttempt, [&pool, entry](const auto& item) {
+        if (item.first.entry != entry)
+            return false;
+        releaseSlot(pool, item.first, item.second);
+        return true;
+    });
+    return grantQueued(pool, now);
+}
+
 }
--- a/packages/grants/tests/unit-schedules.cpp
+++ b/packages/grants/tests/unit-schedules.cpp
@@ -92,6 +92,48 @@
     }
 };
 
+// Entries that lose messages: what the pool believes to be occupied is checked against what they run.
+struct LossySchedule {
+    PoolFixture fixture;
+    std::set<AttemptId> running;
+
+    bool losesMessages { true };
+
+    bool isLost() const { return this->losesMessages && *rc::gen::inRange(0, 3) == 0; }
+
+    void applyDecisions(const std::vector<Decision>& decisions)
+    {
+        for (const Decision& decision : decisions) {
+            // A lost grant reply leaves an attempt that no entry runs.
+            if (decision.kind == DecisionKind::Granted && !this->isLost())
+                this->running.insert(decision.attemptId);
+        }
+    }
+
+    void finish(const AttemptId& attemptId) { this->applyDecisions(finishAttempt(this->fixture.pool, attemptId, AttemptOutcome::Abandoned, Duration::zero(), this->fixture.now)); }
+
+    void requestOrFinish()
+    {
+        if (*rc::gen::arbitrary<bool>() || this->running.empty()) {
+            this->applyDecisions(requestGrant(this->fixture.pool, this->fixture.makeRequest(seconds(60)), this->fixture.now));
+            return;
+        }
+        const AttemptId attemptId = *std::next(this->running.begin(), *rc::gen::inRange<std::ptrdiff_t>(0, static_cast<std::ptrdiff_t>(this->running.size())));
+        this->running.erase(attemptId);
+        if (!this->isLost())
+            this->finish(attemptId);
+    }
+
+    void passTime()
+    {
+        this->fixture.now += milliseconds(100);
+        for (const AttemptId& attemptId : attemptsToQuery(this->fixture.pool, this->fixture.now)) {
+            if (!this->running.contains(attemptId) && !this->isLost())
+                this->finish(attemptId);
+        }
+    }
+};
+
 }
 
 TEST_GROUP(Schedules) {};
@@ -112,3 +154,27 @@
     });
     CHECK(passed);
 }
+
+// Guards against slots that stay occupied after messages between entries and dispatcher were lost.
+TEST(Schedules, OccupyOnlyTheSlotsOfRunningAttemptsASecondAfterTheLastLoss)
+{
+    const bool passed = rc::check("lossy schedules", [] {
+        LossySchedule schedule;
+        schedule.fixture.listTargets(4);
+        const int steps = *rc::gen::inRange(20, 200);
+        for (int step = 0; step < steps; ++step) {
+            schedule.requestOrFinish();
+            if (*rc::gen::inRange(0, 4) == 0)
+                schedule.passTime();
+        }
+        schedule.losesMessages = false;
+        constexpr int calmSteps = 16;
+        for (int step = 0; step < calmSteps; ++step)
+            schedule.passTime();
+        std::set<AttemptId> occupied;
+        for (const auto& [attemptId, instance] : schedule.fixture.pool.instanceByAttempt)
+            occupied.insert(attemptId);
+        RC_ASSERT(std::includes(schedule.running.begin(), schedule.running.end(), occupied.begin(), occupied.end()));
+    });
+    CHECK(passed);
+}
--- a/packages/proxy/include/flamingowick/proxy/DispatcherHost.h
+++ b/packages/proxy/include/flamingowick/proxy/DispatcherHost.h
@@ -19,6 +19,8 @@
     std::function<void(const grants::Decision&)> deliverDecision;
     // Returns the current targets of a service.
     std::function<std::vector<grants::ListedTarget>(std::string_view service)> listTargets;
+    // Asks the entry of an attempt whether it still runs.
+    std::function<void(const grants::AttemptId&)> queryAttempt;
 };
 
 class DispatcherHost {
@@ -40,6 +42,9 @@
     // Records an attempt that was started without a grant of this host, and whose slot is occupied.
     void attemptRunning(const grants::AttemptId&, const RunningAttemptMessage&);
 
+    // Frees the slots of an incarnation of an entry that has ended.
+    void handleEntryRestart(std::uint64_t endedIncarnation);
+
     // Reloads the targets of a service into its pools.
     void handleTargetChange(std::string_view service);
 
--- a/packages/proxy/include/flamingowick/proxy/Entry.h
+++ b/packages/proxy/include/flamingowick/proxy/Entry.h
@@ -69,6 +69,10 @@
     // used is returned to the dispatcher.
     void handleGrantReply(const std::string& dispatcher, const GrantReplyMessage&);
 
+    // Handles a dispatcher's question whether an attempt is still running: reports its end if it isn't, because an
+    // earlier report was lost or the grant came too late to be used.
+    void handleAttemptQuery(const std::string& dispatcherAddress, std::uint64_t number);
+
     // Reports this daemon's attempts in flight in the group to a dispatcher that did not grant them and therefore
     // does not count their slots as occupied. An empty group means all groups of which the member is the preferred
     // dispatcher. Linear in the active requests.
--- a/packages/proxy/include/flamingowick/proxy/PeerLink.h
+++ b/packages/proxy/include/flamingowick/proxy/PeerLink.h
@@ -54,6 +54,11 @@
     std::uint64_t workload { 0 };
 };
 
+// Asks an entry whether it still runs an attempt, which occupies a slot at the sender.
+struct AttemptQueryMessage {
+    std::uint64_t number { 0 };
+};
+
 struct PresenceMessage {
     std::string name;
     std::string address;
@@ -86,6 +91,7 @@
     std::function<void(const PeerSource&, const GrantReplyMessage&)> onGrantReply;
     std::function<void(const PeerSource&, const AttemptEndMessage&)> onAttemptEnd;
     std::function<void(const PeerSource&, const RunningAttemptMessage&)> onRunningAttempt;
+    std::function<void(const PeerSource&, const AttemptQueryMessage&)> onAttemptQuery;
     std::function<void(const PeerSource&, const PresenceMessage&)> onPresence;
     std::function<void(const PeerSource&, const CrashMessage&)> onCrash;
     std::function<void(const PeerSource&, const SurvivalMessage&)> onSurvival;
@@ -106,6 +112,7 @@
     void send(const std::string& address, const GrantReplyMessage&);
     void send(const std::string& address, const AttemptEndMessage&);
     void send(const std::string& address, const RunningAttemptMessage&);
+    void send(const std::string& address, const AttemptQueryMessage&);
     void send(const std::string& address, const PresenceMessage&);
     void send(const std::string& address, const CrashMessage&);
     void send(const std::string& address, const SurvivalMessage&);
--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -83,6 +83,7 @@
     QuarantineCallbacks makeQuarantineCallbacks();
     void deliverHostedDecision(const grants::Decision&);
     void sendGrantReply(const std::string& dispatcher, const GrantReplyMessage&);
+    void queryAttempt(const grants::AttemptId&);
     void deliverLocalDecision(const grants::Decision&);
     void announcePresence(bool leaving, bool wantsReply);
     void checkStopProgress();
@@ -104,8 +105,13 @@
     Fleet fleet;
     // Addresses of the entries that send this dispatcher messages, by incarnation.
     std::unordered_map<std::uint64_t, std::string> entryAddresses;
-    // The incarnation in the last message of each peer, by address.
-    std::unordered_map<std::string, std::uint64_t> peerIncarnations;
+    // The incarnation of a peer that was heard last, and the one before it; 0 for none.
+    struct PeerIncarnations {
+        std::uint64_t current { 0 };
+        std::uint64_t ended { 0 };
+    };
+    // By address.
+    std::unordered_map<std::string, PeerIncarnations> peerIncarnations;
     std::unique_ptr<PeerLink> peers;
     std::unique_ptr<RequestQuarantine> quarantine;
     std::unique_ptr<DispatcherHost> hostedPools;
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -254,6 +254,8 @@
         this->context.metrics.increment("flamingowick_dispatcher_silent_total");
         ++pending.dispatcherIndex;
         pending.sendCount = 0;
+        // The dispatcher may grant the request when it goes on.
+        this->entry.sendAttemptEnd(name, { pending.number, pending.group, AttemptOutcome::Abandoned, Duration::zero() });
         // A new number keeps a late reply of the previous dispatcher from being taken for the next one's.
         this->entry.pendingGrantRequests.erase(pending.number);
         pending.number = this->entry.nextNumber();
--- a/packages/proxy/src/DispatcherHost.cpp
+++ b/packages/proxy/src/DispatcherHost.cpp
@@ -14,7 +14,7 @@
     // may become eligible without any event.
     constexpr Duration queueCheckInterval { milliseconds(50) };
     // Interval at which attempts are checked for ends that were lost.
-    constexpr Duration attemptCheckInterval { std::chrono::seconds(3) };
+    constexpr Duration attemptCheckInterval { milliseconds(500) };
     // Failure probability above which the log calls a target ejected.
     constexpr double loggedEjectionThreshold = 0.55;
 
@@ -101,6 +101,12 @@
     this->scheduleExpiry();
 }
 
+void DispatcherHost::handleEntryRestart(std::uint64_t endedIncarnation)
+{
+    for (auto& [name, pool] : this->poolsByGroup)
+        this->deliver(grants::releaseEntry(pool, endedIncarnation, Clock::now()));
+}
+
 void DispatcherHost::handleTargetChange(std::string_view service)
 {
     for (auto& [name, pool] : this->poolsByGroup) {
@@ -148,6 +154,10 @@
     const TimePoint now = Clock::now();
     for (auto& [name, pool] : this->poolsByGroup)
         this->deliver(grants::expireOverdue(pool, now));
+    for (auto& [name, pool] : this->poolsByGroup) {
+        for (const grants::AttemptId& attemptId : grants::attemptsToQuery(pool, now))
+            this->callbacks.queryAttempt(attemptId);
+    }
     this->scheduleExpiry();
 }
 
--- a/packages/proxy/src/Entry.cpp
+++ b/packages/proxy/src/Entry.cpp
@@ -95,6 +95,14 @@
         this->sendAttemptEnd(dispatcher, { number, {}, grants::AttemptOutcome::Abandoned, Duration::zero() });
 }
 
+void Entry::handleAttemptQuery(const std::string& dispatcherAddress, std::uint64_t number)
+{
+    if (this->runningAttempts.contains(number) || this->pendingGrantRequests.contains(number))
+        return;
+    this->context.metrics.increment("flamingowick_unused_slots_returned_total");
+    this->context.peers.send(dispatcherAddress, AttemptEndMessage { number, {}, grants::AttemptOutcome::Abandoned, Duration::zero() });
+}
+
 void Entry::sendAttemptEnd(const std::string& member, const AttemptEndMessage& message)
 {
     const grants::AttemptId attemptId { this->context.incarnation, message.number };
--- a/packages/proxy/src/PeerLink.cpp
+++ b/packages/proxy/src/PeerLink.cpp
@@ -156,6 +156,11 @@
     running.set_workload(static_cast<std::uint32_t>(message.workload));
 }
 
+void PeerLink::send(const std::string& address, const AttemptQueryMessage& message)
+{
+    this->pendingDatagramTo(address).add_queried_attempts(message.number);
+}
+
 void PeerLink::send(const std::string& address, const PresenceMessage& message)
 {
     wire::Presence& presence = *this->pendingDatagramTo(address).mutable_presence();
@@ -251,6 +256,8 @@
         this->handlers.onGrantRequest(source, readGrantRequest(wireRequest, datagram.sender(), now));
     for (const wire::Word& wireReply : datagram.words())
         this->handlers.onGrantReply(source, readGrantReply(wireReply));
+    for (const std::uint64_t number : datagram.queried_attempts())
+        this->handlers.onAttemptQuery(source, { number });
 }
 
 }
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -26,9 +26,9 @@
     constexpr unsigned maxCallerConnections = 3000;
     constexpr unsigned maxMonitoringConnections = 32;
 
-    DispatcherCallbacks makeDispatcherCallbacks(std::function<void(const grants::Decision&)> deliverDecision, const TargetDirectory& directory)
+    DispatcherCallbacks makeDispatcherCallbacks(std::function<void(const grants::Decision&)> deliverDecision, std::function<void(const grants::AttemptId&)> queryAttempt, const TargetDirectory& directory)
     {
-        return { std::move(deliverDecision), [&directory](std::string_view service) { return targetsOf(directory, service); } };
+        return { std::move(deliverDecision), [&directory](std::string_view service) { return targetsOf(directory, service); }, std::move(queryAttempt) };
     }
 
 }
@@ -51,9 +51,9 @@
     // Two dispatchers may briefly serve the same group, so each pool gets less than half of the service's retry burst.
     constexpr double retryShare = 0.4;
     this->hostedPools = std::make_unique<DispatcherHost>(this->io, "dispatch", this->settings, retryShare, this->log,
-        makeDispatcherCallbacks([this](const grants::Decision& decision) { this->deliverHostedDecision(decision); }, this->directory));
+        makeDispatcherCallbacks([this](const grants::Decision& decision) { this->deliverHostedDecision(decision); }, [this](const grants::AttemptId& attemptId) { this->queryAttempt(attemptId); }, this->directory));
     this->localPools = std::make_unique<DispatcherHost>(this->io, "alone", this->settings, retryShare, this->log,
-        makeDispatcherCallbacks([this](const grants::Decision& decision) { this->deliverLocalDecision(decision); }, this->directory));
+        makeDispatcherCallbacks([this](const grants::Decision& decision) { this->deliverLocalDecision(decision); }, [](const grants::AttemptId&) { /* The entry reports each end to its own pools, and no message can be lost. */ }, this->directory));
     this->links = std::make_unique<TargetConnections>(this->io, this->settings.headers);
     this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->appliedConfiguration, this->directory, this->fleet, *this->peers, *this->hostedPools, *this->localPools, *this->links, *this->quarantine, this->log, this->metrics, this->ownIncarnation, [this] {
                                                                      this->scheduleProbes();
@@ -237,6 +237,7 @@
         this->entryAddresses[source.incarnation] = source.address;
         this->hostedPools->attemptRunning({ source.incarnation, message.number }, message);
     };
+    handlers.onAttemptQuery = [this](const PeerSource& source, const AttemptQueryMessage& message) { this->entry->handleAttemptQuery(source.address, message.number); };
     handlers.onPresence = [this](const PeerSource& source, const PresenceMessage& message) { this->handlePresence(source, message); };
     handlers.onCrash = [this](const PeerSource& source, const CrashMessage& message) { this->quarantine->handleReportedCrash(source.address, message); };
     handlers.onSurvival = [this](const PeerSource&, const SurvivalMessage& message) { this->quarantine->handleReportedSurvival(message); };
@@ -271,10 +272,15 @@
         this->quarantine->sendRefusalsTo(source.address);
         this->handleFleetChange();
     }
-    std::uint64_t& lastIncarnation = this->peerIncarnations[source.address];
-    const bool restarted = lastIncarnation != 0 && lastIncarnation != source.incarnation;
-    lastIncarnation = source.incarnation;
-    if (restarted) {
+    PeerIncarnations& incarnations = this->peerIncarnations[source.address];
+    // A datagram of the incarnation that has ended may arrive after the first one of the next.
+    if (source.incarnation == incarnations.current || source.incarnation == incarnations.ended)
+        return;
+    incarnations.ended = incarnations.current;
+    incarnations.current = source.incarnation;
+    if (incarnations.ended != 0) {
+        this->hostedPools->handleEntryRestart(incarnations.ended);
+        this->entryAddresses.erase(incarnations.ended);
         this->log.write(EventScope::Process, "fleet", "member-restarted", EventFields().text("member", name));
         this->entry->reportRunningAttempts(name, {});
     }
@@ -352,6 +358,15 @@
         this->peers->send(address->second, reply);
 }
 
+void Proxy::queryAttempt(const grants::AttemptId& attemptId)
+{
+    // This daemon's own attempts end without a message that could be lost.
+    if (attemptId.entry == this->ownIncarnation)
+        return;
+    if (const auto address = this->entryAddresses.find(attemptId.entry); address != this->entryAddresses.end())
+        this->peers->send(address->second, AttemptQueryMessage { attemptId.number });
+}
+
 void Proxy::deliverLocalDecision(const grants::Decision& decision)
 {
     const GrantReplyMessage reply { decision.kind == grants::DecisionKind::Granted ? GrantReplyKind::Granted : GrantReplyKind::Refused, decision };
