Treat a target as leaving once a response of it says so

Cause: only the entry in the store was read.

Change: the header of any response, also of one that breaks off after its headers, marks the target in the daemon's directory for the target's incarnation. A later entry of the same incarnation does not take it back. Grant requests name leaving targets as excluded, since the dispatcher may not know.

--- a/packages/proxy/include/flamingowick/proxy/Entry.h
+++ b/packages/proxy/include/flamingowick/proxy/Entry.h
@@ -48,6 +48,8 @@
     std::uint64_t incarnation { 0 };
     // Called when a member becomes suspected.
     std::function<void()> onMemberSuspected;
+    // Called when a target's response says that the target, which started at that time, is leaving.
+    std::function<void(std::string_view instance, std::int64_t startedAt)> onTargetLeaving;
 };
 
 class ActiveRequest;
--- a/packages/proxy/include/flamingowick/proxy/ProxySettings.h
+++ b/packages/proxy/include/flamingowick/proxy/ProxySettings.h
@@ -19,6 +19,8 @@
     std::string expectedInstance;
     // Set by a target that did not execute the request.
     std::string notExecuted;
+    // "1" in all responses of a target that is leaving.
+    std::string targetLeaving;
 };
 
 struct ProxySettings {
--- a/packages/proxy/include/flamingowick/proxy/TargetConnections.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetConnections.h
@@ -44,6 +44,8 @@
     std::optional<Duration> holdOff {};
     // The 503 response has a Retry-After that can't be read.
     bool holdOffUnreadable { false };
+    // The response says that the target is leaving.
+    bool targetLeaving { false };
     // Why the attempt failed, for logs; empty otherwise.
     std::string reason;
 };
--- a/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
@@ -88,6 +88,10 @@
 // Returns the number of targets of a service, leaving ones included. Linear in all entries.
 std::size_t countTargets(const TargetDirectory&, std::string_view service);
 
+// Records that a target has said itself that it is leaving, whatever its entry says. Ignored if the instance isn't listed
+// or has restarted since startedAt. Logarithmic.
+DirectoryChange markLeaving(TargetDirectory&, std::string_view instance, std::int64_t startedAt);
+
 // Records that a target wants no requests from this daemon before the given time. An end that is later already stays.
 // Ignored if the instance isn't listed or has restarted since startedAt. Logarithmic.
 void holdOff(TargetDirectory&, std::string_view instance, std::int64_t startedAt, TimePoint until);
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -38,7 +38,7 @@
     constexpr Duration hedgeRetryDelay { milliseconds(60) };
     // Instances with an idle connection that a grant request lists at most; it must fit into one datagram.
     constexpr std::size_t maxIdleInstancesSent = 12;
-    constexpr std::size_t maxHeldOffInstancesSent = 16;
+    constexpr std::size_t maxUnusableInstancesSent = 16;
     // Bytes of a target's header that a log line contains at most.
     constexpr std::size_t maxLoggedHeaderBytes = 32;
     // Groups that may refuse a request before the caller gets the refusal.
@@ -185,15 +185,15 @@
     this->sendGrantRequest();
 }
 
-void ActiveRequest::appendHeldOffInstances(std::string_view group, std::vector<std::string>& instances) const
+void ActiveRequest::appendUnusableInstances(std::string_view group, std::vector<std::string>& instances) const
 {
     const std::optional<TargetGroup> parsed = parseGroup(group);
     const TimePoint now = Clock::now();
     std::size_t appended = 0;
     for (const auto& [instance, known] : this->context.directory.entries) {
-        if (appended == maxHeldOffInstancesSent)
+        if (appended == maxUnusableInstancesSent)
             return;
-        if (parsed && known.entry.service == parsed->service && isHeldOff(known, now) && isInGroup(*parsed, instance)) {
+        if (parsed && known.entry.service == parsed->service && (known.entry.target.leaving || isHeldOff(known, now)) && isInGroup(*parsed, instance)) {
             instances.push_back(instance);
             ++appended;
         }
@@ -220,7 +220,7 @@
     request.latencyObjective = this->route.latencyObjective;
     request.failureDomain = this->context.settings.failureDomain;
     request.excludedInstances = this->triedInstances;
-    this->appendHeldOffInstances(message.group, request.excludedInstances);
+    this->appendUnusableInstances(message.group, request.excludedInstances);
     request.idleConnectionInstances = this->pendingGrant->idleConnectionInstances;
     return message;
 }
@@ -479,6 +479,8 @@
         this->context.quarantine.handleSurvival(this->fingerprint);
     if (result.endedWithoutResponse)
         this->checkForCrash(attempt);
+    if (result.targetLeaving)
+        this->context.onTargetLeaving(attempt.instance, attempt.targetStartedAt);
     if (result.holdOff || result.holdOffUnreadable)
         this->recordHoldOff(attempt, result);
     if (result.outcome == AttemptOutcome::Succeeded) {
--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -67,8 +67,9 @@
     // Sends the pending grant request to the local pool.
     void decideLocally();
     GrantRequestMessage makeGrantRequest();
-    // Appends the group's targets that are held off, up to a limit; grants for further ones are declined.
-    void appendHeldOffInstances(std::string_view group, std::vector<std::string>& instances) const;
+    // Appends the group's targets that are held off or leaving, up to a limit; grants for further ones are declined. The
+    // dispatcher may not know of either.
+    void appendUnusableInstances(std::string_view group, std::vector<std::string>& instances) const;
     // Cancels the pending grant request, if any, at its dispatcher.
     void abandonGrantRequest();
     void handleGranted(const grants::Decision&, const std::string& dispatcher);
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -55,10 +55,12 @@
     this->localPools = std::make_unique<DispatcherHost>(this->io, "alone", this->settings, retryShare, this->log,
         makeDispatcherCallbacks([this](const grants::Decision& decision) { this->deliverLocalDecision(decision); }, [](const grants::AttemptId&) { /* The entry reports each end to its own pools, and no message can be lost. */ }, this->directory));
     this->links = std::make_unique<TargetConnections>(this->io, this->settings.headers);
-    this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->appliedConfiguration, this->directory, this->fleet, *this->peers, *this->hostedPools, *this->localPools, *this->links, *this->quarantine, this->log, this->metrics, this->ownIncarnation, [this] {
-                                                                     this->scheduleProbes();
-                                                                     this->handleFleetChange();
-                                                                 } });
+    const auto handleMemberSuspected = [this] {
+        this->scheduleProbes();
+        this->handleFleetChange();
+    };
+    const auto handleTargetLeaving = [this](std::string_view instance, std::int64_t startedAt) { this->applyDirectoryChange(markLeaving(this->directory, instance, startedAt)); };
+    this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->appliedConfiguration, this->directory, this->fleet, *this->peers, *this->hostedPools, *this->localPools, *this->links, *this->quarantine, this->log, this->metrics, this->ownIncarnation, handleMemberSuspected, handleTargetLeaving });
     this->entry = std::make_unique<Entry>(*this->context);
     const auto limits = [this] { return this->appliedConfiguration ? this->appliedConfiguration->configuration.limits : CallerLimits {}; };
     this->readinessServer = std::make_unique<CallerServer>(this->io, this->settings.readyAddress, maxMonitoringConnections,
--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -231,18 +231,28 @@
         result.outcome = classifyResponse(result.response, this->owner.headerNames, this->spec.requestId);
         if (result.outcome == grants::AttemptOutcome::ConnectionBroken)
             result.reason = "unproven";
-        if (const std::string_view retryAfter = headerValue(result.response, "retry-after"); result.response.status == 503 && !retryAfter.empty()) {
-            result.holdOff = parseRetryAfter(retryAfter);
-            result.holdOffUnreadable = !result.holdOff;
-        }
+        this->readTargetState(result.response, result);
         const bool reuse = !this->mustClose && !this->writing && result.response.keepAlive && result.outcome != grants::AttemptOutcome::ConnectionBroken && result.outcome != grants::AttemptOutcome::InstanceReplaced;
         this->idleTimeout = announcedIdleTimeout(result.response);
         this->finishAttempt(std::move(result), reuse);
     }
 
+    // Reads what a response says of its target rather than of the request.
+    void readTargetState(const HttpMessage& response, AttemptResult& result) const
+    {
+        result.targetLeaving = headerValue(response, this->owner.headerNames.targetLeaving) == "1";
+        const std::string_view retryAfter = headerValue(response, "retry-after");
+        if (response.status != 503 || retryAfter.empty())
+            return;
+        result.holdOff = parseRetryAfter(retryAfter);
+        result.holdOffUnreadable = !result.holdOff;
+    }
+
     void failAttempt(grants::AttemptOutcome outcome, std::string_view reason)
     {
         AttemptResult result;
+        // The headers of a response that breaks off may be whole.
+        this->readTargetState(this->reader.message(), result);
         result.outcome = outcome;
         result.sent = this->sent;
         result.newConnection = this->newConnection;
--- a/packages/proxy/src/TargetDirectory.cpp
+++ b/packages/proxy/src/TargetDirectory.cpp
@@ -144,6 +144,18 @@
     return static_cast<std::size_t>(std::count_if(directory.entries.begin(), directory.entries.end(), [service](const auto& item) { return item.second.entry.service == service; }));
 }
 
+DirectoryChange markLeaving(TargetDirectory& directory, std::string_view instance, std::int64_t startedAt)
+{
+    DirectoryChange change;
+    const auto found = directory.entries.find(instance);
+    if (found == directory.entries.end() || found->second.entry.startedAt != startedAt || found->second.entry.target.leaving)
+        return change;
+    found->second.entry.target.leaving = true;
+    change.changedServices.insert(found->second.entry.service);
+    change.leaving.emplace_back(instance);
+    return change;
+}
+
 void holdOff(TargetDirectory& directory, std::string_view instance, std::int64_t startedAt, TimePoint until)
 {
     const auto found = directory.entries.find(instance);
--- a/packages/proxy/tests/ProxyTestBed.h
+++ b/packages/proxy/tests/ProxyTestBed.h
@@ -19,7 +19,7 @@
 
 inline HeaderNames testHeaders()
 {
-    return { "X-Id", "X-Left-Ms", "X-Signature", "X-Expected", "X-Not-Run" };
+    return { "X-Id", "X-Left-Ms", "X-Signature", "X-Expected", "X-Not-Run", "X-Leaving" };
 }
 
 // A target that answers each request with the bytes that the script returns, or never when it returns none.
--- /dev/null
+++ b/packages/proxy/tests/unit-leaving.cpp
@@ -0,0 +1,101 @@
+#include "ProxyTestBed.h"
+
+using namespace flamingowick;
+using namespace flamingowick::proxy;
+
+// Targets that say in a response that they are leaving, before or without saying so in their entries.
+
+TEST_GROUP(Leaving)
+{
+    ProxyTestBed testBed;
+    unsigned lastRequest { 0 };
+
+    ScriptedTarget& addTarget(const std::string& status, const std::string& headers)
+    {
+        return testBed.addTarget([status, headers](const HttpMessage& received) {
+            return "HTTP/1.1 " + status + "\r\nX-Id: " + std::string(headerValue(received, "X-Id")) + "\r\nX-Signature: s\r\n" + headers + "Content-Length: 0\r\n\r\n";
+        });
+    }
+
+    HttpMessage send(std::size_t daemon = 0)
+    {
+        auto caller = testBed.connectCaller(daemon);
+        caller->send(makeRequest("r" + std::to_string(++lastRequest), "POST", "x"));
+        CHECK(testBed.runUntil([&] { return !caller->responses.empty() || caller->ended; }));
+        CHECK(!caller->responses.empty());
+        return caller->responses.back();
+    }
+
+    // Sends requests, one after the other, until the target has got one.
+    void sendUntilItArrivesAt(const ScriptedTarget& target, std::size_t count, std::size_t daemon = 0)
+    {
+        constexpr unsigned maxRequests = 300;
+        for (unsigned sent = 0; sent < maxRequests && target.requests.size() < count; ++sent) {
+            send(daemon);
+            testBed.runFor(milliseconds(10));
+        }
+        CHECK_EQUAL(count, target.requests.size());
+    }
+
+    void checkGetsNoMore(const ScriptedTarget& target)
+    {
+        const std::size_t before = target.requests.size();
+        // Longer than the time in which each target gets a request.
+        const TimePoint end = Clock::now() + milliseconds(2200);
+        while (Clock::now() < end) {
+            send();
+            testBed.runFor(milliseconds(20));
+        }
+        CHECK_EQUAL(before, target.requests.size());
+    }
+};
+
+// Guards against requests being sent to a target that has said that it leaves.
+TEST(Leaving, IsReadFromAnyResponseOfATarget)
+{
+    for (const std::string& status : { std::string("200 OK"), std::string("500 Internal Server Error"), std::string("503 Service Unavailable") }) {
+        const ScriptedTarget& leaving = addTarget(status, status.starts_with("503") ? "X-Not-Run: 1\r\nX-Leaving: 1\r\n" : "X-Leaving: 1\r\n");
+        addTarget("200 OK", "");
+        testBed.start(1, false);
+        sendUntilItArrivesAt(leaving, 1);
+        checkGetsNoMore(leaving);
+        testBed.proxies.clear();
+        testBed.targets.clear();
+        testBed.entries.clear();
+        testBed.settings.clear();
+    }
+}
+
+TEST(Leaving, StaysUntilTheTargetHasRestarted)
+{
+    const ScriptedTarget& leaving = addTarget("200 OK", "X-Leaving: 1\r\n");
+    addTarget("200 OK", "");
+    testBed.start(1, false);
+    sendUntilItArrivesAt(leaving, 1);
+    testBed.proxies.front()->applyTargetChanges(testBed.entries, {});
+    checkGetsNoMore(leaving);
+    testBed.entries.front().startedAt = 2;
+    testBed.proxies.front()->applyTargetChanges(testBed.entries, {});
+    sendUntilItArrivesAt(leaving, 2);
+}
+
+TEST(Leaving, HoldsThoughTheDispatcherDoesNotKnow)
+{
+    const ScriptedTarget& leaving = addTarget("200 OK", "X-Leaving: 1\r\n");
+    addTarget("200 OK", "");
+    testBed.start(2, false);
+    const std::string dispatcher = dispatchersFor(testBed.proxies.front()->fleetState(), "stock/0/1").front();
+    const std::size_t other = testBed.settings.front().vm == dispatcher ? 1 : 0;
+    sendUntilItArrivesAt(leaving, 1, other);
+    const TimePoint end = Clock::now() + milliseconds(2200);
+    while (Clock::now() < end)
+        CHECK_EQUAL(200, send(other).status);
+    CHECK_EQUAL(1, leaving.requests.size());
+}
+
+TEST(Leaving, IsNotReadFromOtherValues)
+{
+    const ScriptedTarget& target = addTarget("200 OK", "X-Leaving: perhaps\r\n");
+    testBed.start(1, false);
+    sendUntilItArrivesAt(target, 5);
+}
