--- a/packages/proxy/include/flamingowick/proxy/HttpClient.h
+++ b/packages/proxy/include/flamingowick/proxy/HttpClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingowick/proxy/HttpMessage.h"
 #include "flamingowick/proxy/Sockets.h"
 
 #include <functional>
@@ -18,6 +19,7 @@
     std::string body;
     // Why no response was received; empty otherwise.
     std::string reason;
+    std::vector<Header> headers {};
 };
 
 using ResponseHandler = std::function<void(HttpResponse)>;
--- a/packages/proxy/src/HttpClient.cpp
+++ b/packages/proxy/src/HttpClient.cpp
@@ -124,7 +124,7 @@
         }
         HttpMessage& message = this->reader.message();
         const bool reuse = message.keepAlive && consumed == size;
-        HttpResponse response { message.status, std::move(message.body), {} };
+        HttpResponse response { message.status, std::move(message.body), {}, std::move(message.headers) };
         if (reuse)
             this->read();
         this->finish(std::move(response), reuse);
