Split how a request gets its grant from how its attempts run

The functions that choose a group, ask dispatchers and handle decisions are in ActiveRequestGrants.cpp with their constants; repeatGrantRequest was a block of onTimer. Nothing else changed.

--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -64,6 +64,8 @@
     void prepareGrantRequest(bool isRetry);
     // Sends the pending grant request, moving on to the next dispatcher when the current one did not reply.
     void sendGrantRequest();
+    // Sends it again when its reply is due.
+    void repeatGrantRequest();
     // Sends the pending grant request to the local pool.
     void decideLocally();
     GrantRequestMessage makeGrantRequest();
