Leave out targets that had gone when the store returns from an older copy

What targets saw: a copy that still lists a target brings it back into use until the store removes its entry, although it had been acknowledged as gone.

Change: the directory remembers for a minute which incarnations have gone. For 6 s after the store's return such targets stay out, which is longer than the store needs to remove the entry of a silent one; one that is still listed then, or has started again, is used.

--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -35,6 +35,10 @@
     void handleStoreUnavailable(std::string_view reason);
     void handleStoreAvailable();
 
+    // Handles that the store has returned from an older copy. Targets that it lacks have the grace of an outage, and those
+    // that had gone stay so until it has had the time to remove them.
+    void handleStoreReturn();
+
     // Replaces the members of the fleet by the daemons that the store lists.
     void setMembers(std::span<const FleetMember>);
 
--- a/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
@@ -32,6 +32,11 @@
     // Two or more removals within massLossSpan are a mass loss if they are at least this share of the service's targets.
     double massLossShare { 0.34 };
     Duration massLossSpan { std::chrono::seconds(1) };
+    // How long a target that had gone, and that the store lists again after it has returned from an older copy, is left
+    // out: the store removes entries after three heartbeats of silence, of 1.5 s each.
+    Duration reappearanceDelay { std::chrono::seconds(6) };
+    // How long it is remembered that a target has gone: longer than a copy of the store is old.
+    Duration goneMemory { std::chrono::seconds(60) };
 };
 
 struct DirectoryEntry {
@@ -44,9 +49,20 @@
     std::optional<TimePoint> heldOffUntil {};
 };
 
+// A target that was dropped.
+struct GoneTarget {
+    std::int64_t startedAt { 0 };
+    TimePoint goneAt;
+};
+
 struct TargetDirectory {
     DirectoryLimits limits;
     std::map<std::string, DirectoryEntry, std::less<>> entries;
+    // Targets that were dropped within goneMemory.
+    std::map<std::string, GoneTarget, std::less<>> gone {};
+    // Targets that had gone and are listed again since the store has returned, and until when they are left out.
+    std::map<std::string, TargetEntry, std::less<>> reappeared {};
+    std::optional<TimePoint> leftOutUntil {};
     // When the last store outage ended; none before the end of the first.
     std::optional<TimePoint> lastStoreOutageAt;
     bool storeUnavailable { false };
@@ -76,7 +92,11 @@
 void markStoreUnavailable(TargetDirectory&);
 void markStoreAvailable(TargetDirectory&, TimePoint now);
 
-// Drops the targets whose grace period has ended.
+// Records that the store has returned from an older copy: targets that had gone and that it lists again are left out until
+// the store has had the time to remove them. Those of a later start are used at once.
+void markStoreReturned(TargetDirectory&, TimePoint now);
+
+// Drops the targets whose grace period has ended, and uses the reappeared ones that are still listed.
 DirectoryChange expireEntries(TargetDirectory&, TimePoint now);
 
 // Returns when expireEntries() is due next; none when no grace period has a known end. Linear in all entries.
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -181,6 +181,13 @@
     this->scheduleLogFlush();
 }
 
+void Proxy::handleStoreReturn()
+{
+    this->handleStoreUnavailable("the store has returned from a copy");
+    this->handleStoreAvailable();
+    markStoreReturned(this->directory, Clock::now());
+}
+
 void Proxy::setMembers(std::span<const FleetMember> members)
 {
     const std::size_t before = this->fleet.members.size();
--- a/packages/proxy/src/TargetDirectory.cpp
+++ b/packages/proxy/src/TargetDirectory.cpp
@@ -1,6 +1,7 @@
 #include "flamingowick/proxy/TargetDirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingowick::proxy {
 
@@ -29,9 +30,26 @@
         return std::nullopt;
     }
 
+    void recordGone(TargetDirectory& directory, std::string_view instance, const DirectoryEntry& known, TimePoint now)
+    {
+        directory.gone.insert_or_assign(std::string(instance), GoneTarget { known.entry.startedAt, now });
+    }
+
+    // Returns whether the entry comes from an older copy of the store and its target has gone since.
+    bool hasReappeared(const TargetDirectory& directory, const TargetEntry& entry, TimePoint now)
+    {
+        const auto gone = directory.gone.find(entry.target.instance);
+        return directory.leftOutUntil && now < *directory.leftOutUntil && gone != directory.gone.end() && gone->second.startedAt == entry.startedAt;
+    }
+
     // A target that is leaving stays so while its entry shows the same start; another start means that it has restarted.
-    void putEntry(TargetDirectory& directory, const TargetEntry& entry, DirectoryChange& change)
+    void putEntry(TargetDirectory& directory, const TargetEntry& entry, TimePoint now, DirectoryChange& change)
     {
+        if (hasReappeared(directory, entry, now)) {
+            directory.reappeared.insert_or_assign(entry.target.instance, entry);
+            return;
+        }
+        directory.reappeared.erase(entry.target.instance);
         const auto found = directory.entries.find(entry.target.instance);
         DirectoryEntry next { entry, std::nullopt, std::nullopt };
         if (found != directory.entries.end()) {
@@ -53,6 +71,8 @@
 
     void removeEntry(TargetDirectory& directory, std::string_view instance, TimePoint now, Duration storeConnectedFor, DirectoryChange& change)
     {
+        if (const auto reappeared = directory.reappeared.find(instance); reappeared != directory.reappeared.end())
+            directory.reappeared.erase(reappeared);
         const auto found = directory.entries.find(instance);
         if (found == directory.entries.end())
             return;
@@ -66,6 +86,7 @@
         }
         change.changedServices.insert(service);
         change.dropped.emplace_back(instance);
+        recordGone(directory, instance, found->second, now);
         directory.entries.erase(found);
     }
 
@@ -74,6 +95,7 @@
 DirectoryChange applyEntryChanges(TargetDirectory& directory, std::span<const TargetEntry> written, std::span<const std::string> removed, TimePoint now, Duration storeConnectedFor)
 {
     DirectoryChange change;
+    std::erase_if(directory.gone, [&directory, now](const auto& item) { return item.second.goneAt + directory.limits.goneMemory <= now; });
     directory.recentRemovals.erase(directory.recentRemovals.begin(), directory.recentRemovals.lower_bound(now - directory.limits.massLossSpan));
     // All removals are counted before the first is handled, so that all targets of a mass loss are treated alike.
     for (const std::string& instance : removed) {
@@ -84,7 +106,7 @@
     for (const std::string& instance : removed)
         removeEntry(directory, instance, now, storeConnectedFor, change);
     for (const TargetEntry& entry : written)
-        putEntry(directory, entry, change);
+        putEntry(directory, entry, now, change);
     return change;
 }
 
@@ -105,15 +127,27 @@
     }
 }
 
+void markStoreReturned(TargetDirectory& directory, TimePoint now)
+{
+    directory.leftOutUntil = now + directory.limits.reappearanceDelay;
+}
+
 DirectoryChange expireEntries(TargetDirectory& directory, TimePoint now)
 {
     DirectoryChange change;
-    std::erase_if(directory.entries, [&change, now](const auto& item) {
+    if (directory.leftOutUntil && *directory.leftOutUntil <= now) {
+        directory.leftOutUntil.reset();
+        const auto reappeared = std::exchange(directory.reappeared, {});
+        for (const auto& [instance, entry] : reappeared)
+            putEntry(directory, entry, now, change);
+    }
+    std::erase_if(directory.entries, [&directory, &change, now](const auto& item) {
         const auto& [instance, known] = item;
         if (!known.graceEndsAt || *known.graceEndsAt > now)
             return false;
         change.changedServices.insert(known.entry.service);
         change.dropped.push_back(instance);
+        recordGone(directory, instance, known, now);
         return true;
     });
     return change;
@@ -122,6 +156,8 @@
 std::optional<TimePoint> nextEntryExpiry(const TargetDirectory& directory)
 {
     std::optional<TimePoint> next;
+    if (!directory.reappeared.empty())
+        next = directory.leftOutUntil;
     for (const auto& [instance, known] : directory.entries) {
         if (known.graceEndsAt && *known.graceEndsAt != TimePoint::max() && (!next || *known.graceEndsAt < *next))
             next = known.graceEndsAt;
--- a/packages/proxy/tests/unit-parts.cpp
+++ b/packages/proxy/tests/unit-parts.cpp
@@ -153,6 +153,45 @@
     CHECK_EQUAL(1, remove({ "t3" }).dropped.size());
 }
 
+// Guards against requests to a target that has ended, because the store has returned from a copy that still lists it.
+TEST(Directory, ATargetThatHadGoneStaysSoWhenTheStoreReturnsFromAnOlderCopy)
+{
+    addTargets(6);
+    remove({ "t3" });
+    markStoreReturned(directory, now);
+    write({ makeEntry("t2"), makeEntry("t3") });
+    CHECK(acceptsRequests(directory, "t2", now));
+    CHECK_FALSE(acceptsRequests(directory, "t3", now));
+    // The store removes the entries of targets that are silent.
+    now += seconds(4);
+    remove({ "t3" });
+    now += seconds(3);
+    CHECK_FALSE(nextEntryExpiry(directory).has_value());
+    expireEntries(directory, now);
+    CHECK_FALSE(acceptsRequests(directory, "t3", now));
+}
+
+TEST(Directory, ATargetThatIsStillListedLongAfterTheStoreHasReturnedIsUsed)
+{
+    addTargets(6);
+    remove({ "t3" });
+    markStoreReturned(directory, now);
+    write({ makeEntry("t3") });
+    CHECK(nextEntryExpiry(directory).has_value());
+    now = *nextEntryExpiry(directory);
+    CHECK_EQUAL(1, expireEntries(directory, now).changedServices.size());
+    CHECK(acceptsRequests(directory, "t3", now));
+}
+
+TEST(Directory, ATargetThatHasStartedAgainIsUsedAtOnceAfterTheStoreHasReturned)
+{
+    addTargets(6);
+    remove({ "t3" });
+    markStoreReturned(directory, now);
+    write({ makeEntry("t3", false, 2) });
+    CHECK(acceptsRequests(directory, "t3", now));
+}
+
 TEST(Directory, ConnectionsToARestartedInstanceAreDropped)
 {
     write({ makeEntry("t") });
