Keep the targets of tests alive until the event loop of their test ends

HoldOff did the same. Both now use one set of targets, with the same checks: all three kinds of response, all five unreadable values.

--- a/packages/proxy/tests/unit-hold-off.cpp
+++ b/packages/proxy/tests/unit-hold-off.cpp
@@ -114,15 +114,11 @@
 // Guards against a target being left out for a time that it did not name, or its header stopping the service.
 TEST(HoldOff, IsIgnoredWhenItsTimeCannotBeRead)
 {
-    for (const std::string& value : { std::string("soon"), std::string("-5"), std::string("Fri, 31 Dec 1999 23:59:59 GMT"), std::string("5, 5"), std::string(10'000, '9') + "x" }) {
-        ScriptedTarget& rejecting = addRejectingTarget(value);
-        testBed.start(1, false);
-        sendUntil([&] { return rejecting.requests.size() >= 2; });
-        testBed.proxies.clear();
-        testBed.targets.clear();
-        testBed.entries.clear();
-        testBed.settings.clear();
-    }
+    for (const std::string& value : { std::string("soon"), std::string("-5"), std::string("Fri, 31 Dec 1999 23:59:59 GMT"), std::string("5, 5"), std::string(10'000, '9') + "x" })
+        addRejectingTarget(value);
+    testBed.start(1, false);
+    for (const auto& target : testBed.targets)
+        sendUntil([&] { return target->requests.size() >= 2; });
 }
 
 TEST(HoldOff, ReadsSecondsWithFractionsUpToAnHour)
--- a/packages/proxy/tests/unit-leaving.cpp
+++ b/packages/proxy/tests/unit-leaving.cpp
@@ -53,16 +53,16 @@
 // Guards against requests being sent to a target that has said that it leaves.
 TEST(Leaving, IsReadFromAnyResponseOfATarget)
 {
-    for (const std::string& status : { std::string("200 OK"), std::string("500 Internal Server Error"), std::string("503 Service Unavailable") }) {
-        const ScriptedTarget& leaving = addTarget(status, status.starts_with("503") ? "X-Not-Run: 1\r\nX-Leaving: 1\r\n" : "X-Leaving: 1\r\n");
-        addTarget("200 OK", "");
-        testBed.start(1, false);
-        sendUntilItArrivesAt(leaving, 1);
-        checkGetsNoMore(leaving);
-        testBed.proxies.clear();
-        testBed.targets.clear();
-        testBed.entries.clear();
-        testBed.settings.clear();
+    const ScriptedTarget& answering = addTarget("200 OK", "X-Leaving: 1\r\n");
+    const ScriptedTarget& failing = addTarget("500 Internal Server Error", "X-Leaving: 1\r\n");
+    const ScriptedTarget& rejecting = addTarget("503 Service Unavailable", "X-Not-Run: 1\r\nX-Leaving: 1\r\n");
+    addTarget("200 OK", "");
+    testBed.start(1, false);
+    for (const ScriptedTarget* leaving : { &answering, &failing, &rejecting })
+        sendUntilItArrivesAt(*leaving, 1);
+    for (const ScriptedTarget* leaving : { &answering, &failing, &rejecting }) {
+        checkGetsNoMore(*leaving);
+        CHECK_EQUAL(1, leaving->requests.size());
     }
 }
 
