Reproduce crashing requests that targets' errors hide

Targets that answer every other run of a crashing request with a 500 clear the count of crashes each time: 20 of 40 sends crash a target, for a bound of 6.

--- a/packages/proxy/tests/ProxyTestBed.h
+++ b/packages/proxy/tests/ProxyTestBed.h
@@ -54,6 +54,8 @@
     bool resetInsteadOfResponse { false };
     // A request whose body contains this crashes the target; empty for none.
     std::string crashMark;
+    // Whether the target answers such a request, by its script, instead of crashing; empty if it never does.
+    std::function<bool()> survivesCrashMark;
     // How long a crashed target refuses connections.
     Duration crashDowntime { milliseconds(50) };
     // How long a crashed target, whose connections have ended, still accepts new ones, as a dying process does.
@@ -89,7 +91,7 @@
         {
             this->owner.requests.push_back(this->reader.message());
             const std::string& mark = this->owner.crashMark;
-            if (!mark.empty() && this->reader.message().body.find(mark) != std::string::npos) {
+            if (!mark.empty() && this->reader.message().body.find(mark) != std::string::npos && !(this->owner.survivesCrashMark && this->owner.survivesCrashMark())) {
                 this->owner.crash();
                 return;
             }
--- a/packages/proxy/tests/unit-crashing-requests.cpp
+++ b/packages/proxy/tests/unit-crashing-requests.cpp
@@ -88,6 +88,26 @@
     CHECK_EQUAL(200, send(0, "wholesome").status);
 }
 
+// Guards against crashes being forgotten because a target failed the request before it began to work on it.
+TEST(CrashingRequests, AreRecognisedThoughSomeTargetsAnswerThemWithAnError)
+{
+    unsigned runs = 0;
+    for (int index = 0; index < 6; ++index) {
+        ScriptedTarget& target = testBed.addTarget([](const HttpMessage& received) {
+            if (received.body != "poison")
+                return ScriptedTarget::healthyResponse(received);
+            return "HTTP/1.1 500 Internal Server Error\r\nX-Id: " + std::string(headerValue(received, "X-Id")) + "\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n";
+        });
+        target.crashMark = "poison";
+        target.survivesCrashMark = [&runs] { return ++runs % 2 == 0; };
+    }
+    // With three daemons, each counts crashes and each learns of every answer.
+    testBed.start(3, false);
+    sendRepeatedly("poison", 40);
+    CHECK_COMPARE(crashes(), <=, allowedCrashes);
+    CHECK_EQUAL(200, send(0, "wholesome").status);
+}
+
 TEST(CrashingRequests, AreRefusedAtOnceWithTheTimeLeft)
 {
     startFleet(2, false);
