Keep the count of crashes when a target answers with an error

Callers saw a request that had crashed targets sent on to others. Each response cleared its count of crashes, also a 500 or 504 of a target that failed it before it began to work. Only a response without an error clears it now: it alone shows that the request ran.

--- a/packages/proxy/include/flamingowick/proxy/PeerLink.h
+++ b/packages/proxy/include/flamingowick/proxy/PeerLink.h
@@ -74,7 +74,7 @@
     Duration age { 0 };
 };
 
-// A target has answered a request that was suspected to crash targets.
+// A target has run a request without an error that was suspected to crash targets.
 struct SurvivalMessage {
     std::uint64_t fingerprint { 0 };
 };
--- a/packages/proxy/include/flamingowick/proxy/RequestQuarantine.h
+++ b/packages/proxy/include/flamingowick/proxy/RequestQuarantine.h
@@ -53,7 +53,7 @@
     // Handles that a target crashed while it ran a request that this daemon had sent.
     void handleCrash(const CrashMessage&, std::string_view requestId);
 
-    // Handles that a target has answered a request. Tells the counters when the request is suspected here.
+    // Handles that a target has run a request without an error. Tells the counters when the request is suspected here.
     void handleSurvival(std::uint64_t fingerprint);
 
     // Handle messages of other daemons. A daemon that reports a crash by a refused request is told of the refusal.
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -196,7 +196,8 @@
     this->reportAttemptEnd(attempt, result.outcome, duration);
     this->context.metrics.increment("flamingowick_attempts_total", serviceLabel(this->service).append(",outcome=\"").append(toString(result.outcome)).append("\""));
     this->context.metrics.observeHistogram("flamingowick_attempt_seconds", serviceLabel(this->service), duration);
-    if (result.outcome == AttemptOutcome::Succeeded || result.outcome == AttemptOutcome::Failed)
+    // A target that answers with an error may not have begun to work on the request.
+    if (result.outcome == AttemptOutcome::Succeeded)
         this->context.quarantine.handleSurvival(this->fingerprint);
     if (result.endedWithoutResponse)
         this->checkForCrash(attempt);
