--- a/packages/proxy/include/flamingowick/proxy/ProxySettings.h
+++ b/packages/proxy/include/flamingowick/proxy/ProxySettings.h
@@ -21,6 +21,8 @@
     std::string notExecuted;
     // "1" in all responses of a target that is leaving.
     std::string targetLeaving;
+    // The requests per second that a target takes from all daemons together; in all responses of a target with a limit.
+    std::string requestLimit;
 };
 
 struct ProxySettings {
--- a/packages/proxy/include/flamingowick/proxy/TargetConnections.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetConnections.h
@@ -30,6 +30,25 @@
     ReadLimits responseLimits;
 };
 
+enum class LimitStatementKind : std::uint8_t {
+    // There is no response, or none that can be ascribed to the target.
+    Unknown,
+    // The response names no limit.
+    None,
+    Named,
+    // The value can't be read. Says neither that there is a limit nor that there is none.
+    Unreadable,
+};
+
+// What a response says of its target's limit on requests.
+struct LimitStatement {
+    LimitStatementKind kind { LimitStatementKind::Unknown };
+    // Set when named.
+    double requestsPerSecond { 0 };
+    // The header's value, shortened, for logs; set when unreadable.
+    std::string text {};
+};
+
 struct AttemptResult {
     grants::AttemptOutcome outcome { grants::AttemptOutcome::ConnectionBroken };
     // A connection was established and the request was handed to it, so that the target may have executed it.
@@ -46,6 +65,8 @@
     bool holdOffUnreadable { false };
     // The response says that the target is leaving.
     bool targetLeaving { false };
+    // What the response says of the target's limit on its requests.
+    LimitStatement limit;
     // Why the attempt failed, for logs; empty otherwise.
     std::string reason;
 };
@@ -100,6 +121,13 @@
 // a Content-Encoding is ConnectionBroken; so is a 2xx response that isn't signed or doesn't carry the request's ID.
 grants::AttemptOutcome classifyResponse(const HttpMessage& response, const HeaderNames&, std::string_view requestId);
 
+// Reads what a response says of its target's limit. A limit that is named twice with different values is unreadable.
+LimitStatement readLimit(const HttpMessage&, std::string_view headerName);
+
+// Reads a limit in requests per second, a decimal number that is at most 1,000,000: a higher limit binds nobody. None if it
+// is anything else, such as a negative number.
+std::optional<double> parseRequestLimit(std::string_view value) noexcept;
+
 // Reads a Retry-After header in seconds, which may include fractions; an hour at most, since a longer time is more likely
 // a fault of the target. None if it is anything else, such as a date or a negative number.
 std::optional<Duration> parseRetryAfter(std::string_view value) noexcept;
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -205,6 +205,7 @@
         this->context.onTargetLeaving(attempt.instance, attempt.targetStartedAt);
     if (result.holdOff || result.holdOffUnreadable)
         this->recordHoldOff(attempt, result);
+    this->logLimit(attempt, result.limit);
     if (result.outcome == AttemptOutcome::Succeeded) {
         this->forwardResponse(result.response);
         return;
@@ -249,6 +250,16 @@
     this->context.log.write(EventScope::Request, "entry", "held-off", fields.milliseconds("forMs", *result.holdOff));
 }
 
+void ActiveRequest::logLimit(const Attempt& attempt, const LimitStatement& limit)
+{
+    EventFields fields;
+    fields.text("request", this->requestId).text("target", attempt.instance);
+    if (limit.kind == LimitStatementKind::Unreadable)
+        this->context.log.write(EventScope::Request, "entry", "limit-unreadable", fields.text("limit", limit.text));
+    else if (limit.kind == LimitStatementKind::Named)
+        this->context.log.write(EventScope::Request, "entry", "limit-named", fields.real("requestsPerSecond", limit.requestsPerSecond));
+}
+
 bool ActiveRequest::mayRetry() const
 {
     return !this->context.quarantine.refusedFor(this->fingerprint) && (this->route.idempotent || !this->mayHaveExecuted) && this->sentCount < std::max(1U, this->route.maxAttempts) && this->deadline - Clock::now() > minAttemptTime;
--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -83,6 +83,8 @@
     void checkForCrash(const Attempt&);
     // Keeps this daemon's requests from a target that has rejected one and named a time.
     void recordHoldOff(const Attempt&, const AttemptResult&);
+    // Logs the limit on requests that the response names.
+    void logLimit(const Attempt&, const LimitStatement&);
     void sendAttempt(const grants::Decision&, const std::string& dispatcher);
     void handleAttemptEnd(std::uint64_t number, AttemptResult);
     // Reports the end to the local pool, to the dispatcher that granted the attempt and to the current one.
--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -31,6 +31,16 @@
     constexpr unsigned maxEndedLivenessConnections = 4;
     constexpr Duration firstLivenessRetryDelay { std::chrono::milliseconds(50) };
 
+    // Reads a decimal number without a sign or an exponent.
+    std::optional<double> parseDecimal(std::string_view value) noexcept
+    {
+        double number = 0;
+        const auto result = std::from_chars(value.data(), value.data() + value.size(), number, std::chars_format::fixed);
+        if (value.empty() || result.ec != std::errc() || result.ptr != value.data() + value.size() || !std::isfinite(number) || std::signbit(number))
+            return std::nullopt;
+        return number;
+    }
+
     Duration announcedIdleTimeout(const HttpMessage& response)
     {
         const std::string_view text = headerValue(response, "keep-alive");
@@ -61,11 +71,34 @@
 std::optional<Duration> parseRetryAfter(std::string_view value) noexcept
 {
     constexpr double maxSeconds = 3600;
-    double number = 0;
-    const auto result = std::from_chars(value.data(), value.data() + value.size(), number, std::chars_format::fixed);
-    if (value.empty() || result.ec != std::errc() || result.ptr != value.data() + value.size() || !std::isfinite(number) || std::signbit(number))
+    const std::optional<double> number = parseDecimal(value);
+    if (!number)
         return std::nullopt;
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(number, maxSeconds)));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(*number, maxSeconds)));
+}
+
+std::optional<double> parseRequestLimit(std::string_view value) noexcept
+{
+    constexpr double maxPerSecond = 1e6;
+    const std::optional<double> number = parseDecimal(value);
+    return number ? std::optional<double>(std::min(*number, maxPerSecond)) : std::nullopt;
+}
+
+LimitStatement readLimit(const HttpMessage& response, std::string_view headerName)
+{
+    // Bytes of an unreadable value that are kept for logs.
+    constexpr std::size_t maxTextBytes = 32;
+    LimitStatement statement { LimitStatementKind::None };
+    for (const Header& header : response.headers) {
+        if (!headerNamesEqual(header.name, headerName))
+            continue;
+        const std::optional<double> number = parseRequestLimit(header.value);
+        const bool contradicts = number && statement.kind == LimitStatementKind::Named && *number != statement.requestsPerSecond;
+        if (!number || contradicts)
+            return { LimitStatementKind::Unreadable, 0, header.value.substr(0, maxTextBytes) };
+        statement = { LimitStatementKind::Named, *number };
+    }
+    return statement;
 }
 
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
@@ -232,6 +265,9 @@
         if (result.outcome == grants::AttemptOutcome::ConnectionBroken)
             result.reason = "unproven";
         this->readTargetState(result.response, result);
+        // A response of another instance, or one that isn't signed, says nothing of this target's limit.
+        if (result.outcome != grants::AttemptOutcome::ConnectionBroken && result.outcome != grants::AttemptOutcome::InstanceReplaced)
+            result.limit = readLimit(result.response, this->owner.headerNames.requestLimit);
         const bool reuse = !this->mustClose && !this->writing && result.response.keepAlive && result.outcome != grants::AttemptOutcome::ConnectionBroken && result.outcome != grants::AttemptOutcome::InstanceReplaced;
         this->idleTimeout = announcedIdleTimeout(result.response);
         this->finishAttempt(std::move(result), reuse);
--- a/packages/proxy/tests/ProxyTestBed.h
+++ b/packages/proxy/tests/ProxyTestBed.h
@@ -19,7 +19,7 @@
 
 inline HeaderNames testHeaders()
 {
-    return { "X-Id", "X-Left-Ms", "X-Signature", "X-Expected", "X-Not-Run", "X-Leaving" };
+    return { "X-Id", "X-Left-Ms", "X-Signature", "X-Expected", "X-Not-Run", "X-Leaving", "X-Limit" };
 }
 
 // A target that answers each request with the bytes that the script returns, or never when it returns none.
