Keep the requests of all daemons to a target within the limit that it names

Targets that had named a limit got their usual share of requests, three times the limit and more, since nothing decided by it. The dispatcher, which sees all requests for a target, now grants by a token bucket that fills at the named rate. Responses are reported to it and to the two daemons that would take over; daemons that decide alone use a share of the limit. A service whose targets are all at their limits answers at once with the time to the next token.

--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flamingowick/grants/Belief.h"
+#include "flamingowick/grants/RequestLimit.h"
 #include "flamingowick/grants/RetryBudget.h"
 
 #include <cstdint>
@@ -36,6 +37,8 @@
     bool leaving { false };
     // Time left until the target has warmed up after its start.
     Duration warmUpTime { 0 };
+    // Requests per second that the target takes from all daemons together; none if it names no limit.
+    std::optional<double> requestsPerSecond {};
 };
 
 struct GrantRequest {
@@ -103,6 +106,8 @@
     double failureProbability { 0 };
     unsigned inFlight { 0 };
     std::size_t queueLength { 0 };
+    // Granted: the target names a limit on its requests. Refused: all eligible targets name one, and are at it.
+    bool limited { false };
     // As in the request; and the tokens that the retry budget held after the decision.
     bool isRetry { false };
     double retryTokens { 0 };
@@ -143,6 +148,8 @@
     TimePoint lastGrantedAt;
     // Breaks ties between targets of equal cost.
     std::uint64_t tieBreaker { 0 };
+    // Set while the target names a limit on its requests.
+    std::optional<RequestLimit> requestLimit {};
     std::map<AttemptId, AttemptInFlight> inFlight;
 };
 
@@ -197,9 +204,9 @@
 // targets.
 std::vector<Decision> requestGrant(TargetPool&, GrantRequest, TimePoint now);
 
-// Records an attempt that was started without a grant of this pool. Attempts at unknown targets are ignored.
-// Logarithmic in the attempts.
-void recordStartedAttempt(TargetPool&, const AttemptId&, std::string_view instance, const AttemptInFlight&);
+// Records an attempt that was started without a grant of this pool; it counts against its target's limit. Attempts at
+// unknown targets are ignored. Logarithmic in the attempts.
+void recordStartedAttempt(TargetPool&, const AttemptId&, std::string_view instance, const AttemptInFlight&, TimePoint now);
 
 // Records the end of an attempt and frees its slot; a queued request with this ID is removed. Unknown attempts are
 // ignored. Returns grants for queued requests that found a slot.
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -47,6 +47,11 @@
 
     unsigned usedSlots(const PooledTarget& target) noexcept { return static_cast<unsigned>(target.inFlight.size()); }
 
+    bool isAtLimit(const PooledTarget& target, TimePoint now) noexcept { return target.requestLimit && !hasToken(*target.requestLimit, now); }
+
+    // Whether the target can be granted to a request now.
+    bool hasRoom(const PooledTarget& target, TimePoint now) noexcept { return usedSlots(target) < target.listed.slots && !isAtLimit(target, now); }
+
     bool contains(std::span<const std::string> names, std::string_view name)
     {
         return std::find(names.begin(), names.end(), name) != names.end();
@@ -143,14 +148,16 @@
         std::size_t present = 0;
         std::size_t covered = 0;
         for (auto& [instance, target] : pool.targets) {
-            if (target.listed.leaving)
+            const bool isCoveredTarget = now - target.lastGrantedAt < pool.limits.coverageWindow;
+            // No request can cover a target that is at its limit.
+            if (target.listed.leaving || (!isCoveredTarget && isAtLimit(target, now)))
                 continue;
             ++present;
-            if (now - target.lastGrantedAt < pool.limits.coverageWindow) {
+            if (isCoveredTarget) {
                 ++covered;
                 continue;
             }
-            if (usedSlots(target) >= target.listed.slots || contains(request.excludedInstances, instance))
+            if (!hasRoom(target, now) || contains(request.excludedInstances, instance))
                 continue;
             const double probability = failureProbability(pool, target, now);
             const bool isHealthy = probability <= pool.limits.maxFailureProbability;
@@ -171,14 +178,14 @@
         return healthy.target || idempotentRequestsTest || isCovered(requiredCoverage(pool, pool.limits.coverageShare)) ? Choice {} : suspected;
     }
 
-    bool hasFreeSlot(const TargetPool& pool)
+    bool anyHasRoom(const TargetPool& pool, TimePoint now)
     {
-        return std::any_of(pool.targets.begin(), pool.targets.end(), [](const auto& item) { return !item.second.listed.leaving && usedSlots(item.second) < item.second.listed.slots; });
+        return std::any_of(pool.targets.begin(), pool.targets.end(), [now](const auto& item) { return !item.second.listed.leaving && hasRoom(item.second, now); });
     }
 
     Choice chooseTarget(TargetPool& pool, const GrantRequest& request, TimePoint now)
     {
-        if (!hasFreeSlot(pool)) {
+        if (!anyHasRoom(pool, now)) {
             Choice none;
             none.hasEligible = std::any_of(pool.targets.begin(), pool.targets.end(), [&request](const auto& item) { return !item.second.listed.leaving && !contains(request.excludedInstances, item.first); });
             return none;
@@ -191,7 +198,7 @@
             if (contains(request.excludedInstances, candidate.target->listed.instance))
                 continue;
             choice.hasEligible = true;
-            if (usedSlots(*candidate.target) >= candidate.target->listed.slots)
+            if (!hasRoom(*candidate.target, now))
                 continue;
             const double cost = placementCost(candidate, request, now);
             if (!choice.target || std::tie(cost, candidate.target->tieBreaker) < std::tie(lowestCost, choice.target->tieBreaker)) {
@@ -215,6 +222,9 @@
         decision.queueLength = pool.queue.size();
         decision.isRetry = request.isRetry;
         decision.retryTokens = pool.retryBudget.tokens;
+        decision.limited = choice.target->requestLimit.has_value();
+        if (choice.target->requestLimit)
+            takeToken(*choice.target->requestLimit, now);
         choice.target->inFlight.emplace(request.attemptId, AttemptInFlight { now, request.workload });
         choice.target->lastGrantedAt = now;
         pool.instanceByAttempt[request.attemptId] = decision.instance;
@@ -237,12 +247,39 @@
         return decision;
     }
 
-    unsigned countEligibleSlots(TargetPool& pool, TimePoint now)
+    // What the eligible targets can take.
+    struct Capacity {
+        // Slots, of which a target that names a limit has no more than keep it at that limit at the usual latency.
+        double slots { 0 };
+        // Set when every eligible target names a limit: the time until one of them takes a request.
+        std::optional<Duration> timeToToken;
+    };
+
+    // Assumed slots of a pool whose targets name limits near zero, so that waits stay finite.
+    constexpr double minCapacitySlots = 0.01;
+
+    double medianLatencySeconds(const TargetPool& pool)
     {
-        unsigned slots = 0;
-        for (const Candidate& candidate : eligibleTargets(pool, now))
-            slots += candidate.target->listed.slots;
-        return slots;
+        return std::max(std::chrono::duration<double>(quantile(pool.overallLatency, 0.5)).count(), 1e-3);
+    }
+
+    Capacity eligibleCapacity(TargetPool& pool, TimePoint now)
+    {
+        Capacity capacity;
+        const double latencySeconds = medianLatencySeconds(pool);
+        bool allLimited = true;
+        for (const Candidate& candidate : eligibleTargets(pool, now)) {
+            const double slots = candidate.target->listed.slots;
+            const std::optional<RequestLimit>& limit = candidate.target->requestLimit;
+            capacity.slots += limit ? std::min(slots, limit->perSecond * latencySeconds) : slots;
+            allLimited = allLimited && limit;
+            if (limit)
+                capacity.timeToToken = std::min(capacity.timeToToken.value_or(Duration::max()), timeToToken(*limit, now));
+        }
+        if (!allLimited)
+            capacity.timeToToken.reset();
+        capacity.slots = std::max(capacity.slots, minCapacitySlots);
+        return capacity;
     }
 
     double decayedRate(const SlotReleaseRate& releaseRate, TimePoint now) noexcept
@@ -259,10 +296,12 @@
 
     // Estimates how many slots become free in a second. While the queue has only just formed, the estimate follows the
     // usual latency; the longer it has not been empty, the more it follows the measured release rate.
-    double estimateReleaseRate(const TargetPool& pool, unsigned slots, TimePoint now)
+    double estimateReleaseRate(const TargetPool& pool, const Capacity& capacity, TimePoint now)
     {
-        const double medianSeconds = std::chrono::duration<double>(quantile(pool.overallLatency, 0.5)).count();
-        const double rateAtUsualLatency = std::max(1U, slots) / std::max(medianSeconds, 1e-3);
+        const double rateAtUsualLatency = capacity.slots / medianLatencySeconds(pool);
+        // Releases say nothing of when targets that are at their limits take further requests.
+        if (capacity.timeToToken)
+            return rateAtUsualLatency;
         const double secondsNonEmpty = pool.queueNonEmptySince ? std::chrono::duration<double>(now - *pool.queueNonEmptySince).count() : 0;
         const double measuredWeight = 1 - std::exp(-secondsNonEmpty / releaseDecaySeconds);
         const double measured = std::max(decayedRate(pool.releaseRate, now), rateAtUsualLatency * minReleaseRateShare);
@@ -275,9 +314,19 @@
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((static_cast<double>(ahead) + 1) / releasesPerSecond));
     }
 
-    Duration estimateQueueWait(const TargetPool& pool, std::size_t ahead, unsigned slots, TimePoint now)
+    Duration estimateQueueWait(const TargetPool& pool, std::size_t ahead, const Capacity& capacity, TimePoint now)
     {
-        return queueWaitAtRate(estimateReleaseRate(pool, slots, now), ahead);
+        const double releasesPerSecond = estimateReleaseRate(pool, capacity, now);
+        if (!capacity.timeToToken)
+            return queueWaitAtRate(releasesPerSecond, ahead);
+        return ahead == 0 ? *capacity.timeToToken : *capacity.timeToToken + queueWaitAtRate(releasesPerSecond, ahead - 1);
+    }
+
+    Decision refuseForLackOfRoom(TargetPool& pool, const GrantRequest& request, const Capacity& capacity, TimePoint now)
+    {
+        Decision decision = refuse(pool, request, RefusalReason::NoSlotInTime, estimateQueueWait(pool, pool.queue.size(), capacity, now), now);
+        decision.limited = capacity.timeToToken && *capacity.timeToToken > Duration::zero();
+        return decision;
     }
 
     // Returns the latest time at which a queued request can start and be expected to meet its deadline.
@@ -335,6 +384,17 @@
             target->second.inFlight.erase(attemptId);
     }
 
+    // Follows the limit in the target's entry.
+    void updateRequestLimit(PooledTarget& target, TimePoint now)
+    {
+        if (!target.listed.requestsPerSecond)
+            target.requestLimit.reset();
+        else if (target.requestLimit)
+            setRate(*target.requestLimit, *target.listed.requestsPerSecond, now);
+        else
+            target.requestLimit = makeRequestLimit(*target.listed.requestsPerSecond, now);
+    }
+
     bool isQueued(const TargetPool& pool, const AttemptId& attemptId)
     {
         return std::any_of(pool.queue.begin(), pool.queue.end(), [&attemptId](const auto& item) { return item.second.request.attemptId == attemptId; });
@@ -383,6 +443,7 @@
             target.tieBreaker = combineHashes(stableHash(item.instance), pool.tieBreakerSeed);
         }
         target.listed = item;
+        updateRequestLimit(target, now);
         targets.emplace(item.instance, std::move(target));
     }
     pool.targets = std::move(targets);
@@ -397,8 +458,10 @@
         resentGrant.attemptId = request.attemptId;
         resentGrant.requestId = request.requestId;
         resentGrant.instance = running->second;
-        if (const auto target = pool.targets.find(running->second); target != pool.targets.end())
+        if (const auto target = pool.targets.find(running->second); target != pool.targets.end()) {
             resentGrant.suspicionAge = suspicionAge(pool.model, latencyProfileFor(pool, request.workload), failureProbability(pool, target->second, now));
+            resentGrant.limited = target->second.requestLimit.has_value();
+        }
         return { resentGrant };
     }
     if (isQueued(pool, request.attemptId))
@@ -418,11 +481,11 @@
     if (!choice.hasEligible)
         return { refuse(pool, request, RefusalReason::NoTarget, seconds(1), now) };
     const auto ahead = static_cast<std::size_t>(std::distance(pool.queue.begin(), pool.queue.upper_bound(request.priority)));
-    const unsigned slots = countEligibleSlots(pool, now);
-    const Duration wait = estimateQueueWait(pool, ahead, slots, now);
+    const Capacity capacity = eligibleCapacity(pool, now);
+    const Duration wait = estimateQueueWait(pool, ahead, capacity, now);
     // Retries and hedges aren't queued: the first attempt may still answer.
-    if (request.isRetry || ahead >= std::size_t { pool.limits.maxQueuedPerSlot } * slots || now + wait > latestUsefulStart(pool, request) || wait > maxQueueWait(pool, request))
-        return { refuse(pool, request, RefusalReason::NoSlotInTime, estimateQueueWait(pool, pool.queue.size(), slots, now), now) };
+    if (request.isRetry || static_cast<double>(ahead) >= pool.limits.maxQueuedPerSlot * capacity.slots || now + wait > latestUsefulStart(pool, request) || wait > maxQueueWait(pool, request))
+        return { refuseForLackOfRoom(pool, request, capacity, now) };
     const unsigned priority = request.priority;
     pool.queue.emplace(priority, QueuedRequest { std::move(request), now });
     if (!pool.queueNonEmptySince)
@@ -430,12 +493,14 @@
     return {};
 }
 
-void recordStartedAttempt(TargetPool& pool, const AttemptId& attemptId, std::string_view instance, const AttemptInFlight& started)
+void recordStartedAttempt(TargetPool& pool, const AttemptId& attemptId, std::string_view instance, const AttemptInFlight& started, TimePoint now)
 {
     const auto target = pool.targets.find(instance);
     if (target == pool.targets.end())
         return;
-    target->second.inFlight.emplace(attemptId, started);
+    const bool isNew = target->second.inFlight.emplace(attemptId, started).second;
+    if (isNew && target->second.requestLimit)
+        takeToken(*target->second.requestLimit, now);
     pool.instanceByAttempt[attemptId] = std::string(instance);
 }
 
@@ -490,8 +555,8 @@
     std::vector<Decision> decisions = grantQueued(pool, now);
     if (pool.queue.empty())
         return decisions;
-    const unsigned slots = countEligibleSlots(pool, now);
-    const double releasesPerSecond = estimateReleaseRate(pool, slots, now);
+    const Capacity capacity = eligibleCapacity(pool, now);
+    const double releasesPerSecond = estimateReleaseRate(pool, capacity, now);
     std::map<std::uint64_t, Duration> latencyByWorkload;
     std::size_t ahead = 0;
     for (auto queued = pool.queue.begin(); queued != pool.queue.end();) {
@@ -507,7 +572,7 @@
         }
         const GrantRequest expired = std::move(queued->second.request);
         queued = pool.queue.erase(queued);
-        decisions.push_back(refuse(pool, expired, RefusalReason::NoSlotInTime, estimateQueueWait(pool, pool.queue.size(), slots, now), now));
+        decisions.push_back(refuseForLackOfRoom(pool, expired, capacity, now));
     }
     return decisions;
 }
--- a/packages/grants/tests/unit-pool.cpp
+++ b/packages/grants/tests/unit-pool.cpp
@@ -299,7 +299,7 @@
     for (int count = 0; count < 20; ++count)
         updateBelief(fixture.pool.targets.at("t0").belief, fixture.pool.model, fixture.pool.overallLatency, AttemptOutcome::Succeeded, milliseconds(10), fixture.now);
     // One request runs at the healthy target.
-    recordStartedAttempt(fixture.pool, { 2, 1 }, "t0", { fixture.now, 0 });
+    recordStartedAttempt(fixture.pool, { 2, 1 }, "t0", { fixture.now, 0 }, fixture.now);
     CHECK_EQUAL(std::string("t0"), fixture.decide(fixture.makeRequest())->instance);
     GrantRequest idempotent = fixture.makeRequest();
     idempotent.idempotent = true;
@@ -309,7 +309,7 @@
 TEST(Pool, CountsRecordedAttemptsThatItDidNotGrant)
 {
     fixture.listTargets(1, 1);
-    recordStartedAttempt(fixture.pool, { 2, 1 }, "t0", { fixture.now, 0 });
+    recordStartedAttempt(fixture.pool, { 2, 1 }, "t0", { fixture.now, 0 }, fixture.now);
     CHECK_FALSE(fixture.decide(fixture.makeRequest()).has_value());
     CHECK_EQUAL(1, finishAttempt(fixture.pool, { 2, 1 }, AttemptOutcome::Succeeded, milliseconds(20), fixture.now).size());
 }
--- a/packages/proxy/include/flamingowick/proxy/DispatcherHost.h
+++ b/packages/proxy/include/flamingowick/proxy/DispatcherHost.h
@@ -54,6 +54,9 @@
     // Applies to a pool from its next list of targets on.
     void setRetryShare(double share) noexcept { this->retryShare = share; }
 
+    // Sets the share of the targets' limits on requests that this host may use, 1 at first. Applies like setRetryShare().
+    void setRequestLimitShare(double share) noexcept { this->requestLimitShare = share; }
+
     // Pools by the name of their group.
     const std::map<std::string, grants::TargetPool, std::less<>>& pools() const noexcept { return this->poolsByGroup; }
 
@@ -68,6 +71,7 @@
     std::string logComponent;
     const ProxySettings& settings;
     double retryShare;
+    double requestLimitShare { 1 };
     telemetry::EventLog& log;
     DispatcherCallbacks callbacks;
     std::map<std::string, grants::TargetPool, std::less<>> poolsByGroup;
--- a/packages/proxy/include/flamingowick/proxy/PeerLink.h
+++ b/packages/proxy/include/flamingowick/proxy/PeerLink.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace flamingowick::proxy::wire {
@@ -79,6 +80,15 @@
     std::uint64_t fingerprint { 0 };
 };
 
+// What a response said of its target's limit on requests. Sent to the group's dispatcher and to those that would take over.
+struct TargetLimitMessage {
+    std::string instance;
+    // Start of the target's incarnation, as TargetEntry::startedAt.
+    std::int64_t startedAt { 0 };
+    // None if the response named no limit.
+    std::optional<double> requestsPerSecond;
+};
+
 // Origin of a datagram.
 struct PeerSource {
     // Incarnation of the daemon: differs after each restart.
@@ -96,6 +106,7 @@
     std::function<void(const PeerSource&, const CrashMessage&)> onCrash;
     std::function<void(const PeerSource&, const SurvivalMessage&)> onSurvival;
     std::function<void(const PeerSource&, const quarantine::QuarantineNotice&)> onQuarantine;
+    std::function<void(const PeerSource&, const TargetLimitMessage&)> onTargetLimit;
 };
 
 class PeerLink {
@@ -117,6 +128,7 @@
     void send(const std::string& address, const CrashMessage&);
     void send(const std::string& address, const SurvivalMessage&);
     void send(const std::string& address, const quarantine::QuarantineNotice&);
+    void send(const std::string& address, const TargetLimitMessage&);
 
     // Sends all pending datagrams now. Otherwise they are sent by a handler that the first message posted.
     void flush();
--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -83,6 +83,13 @@
     void handleFleetChange();
     void recordPeerContact(const PeerSource&);
     void handleGrantRequest(const PeerSource&, const GrantRequestMessage&);
+    // Records a target's limit, and tells the daemons that dispatch for the target or would take over.
+    void spreadTargetLimit(const TargetLimitMessage&);
+    void recordTargetLimit(const TargetLimitMessage&);
+    // Tells the daemon at the address of the limits of those targets for which this one dispatches or would take over.
+    void sendLimitsTo(const std::string& address);
+    // Returns the daemons that have to know a target's limit, the dispatcher first.
+    std::vector<std::string> limitKeepersFor(const TargetEntry&);
     void handlePresence(const PeerSource&, const PresenceMessage&);
     QuarantineCallbacks makeQuarantineCallbacks();
     void deliverHostedDecision(const grants::Decision&);
--- a/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
@@ -35,6 +35,12 @@
     // How long a target that had gone, and that the store lists again after it has returned from an older copy, is left
     // out: the store removes entries after three heartbeats of silence, of 1.5 s each.
     Duration reappearanceDelay { std::chrono::seconds(6) };
+    // How long a target's limit is kept that no response has repeated: it stands in all responses of such a target, so
+    // that without any nobody knows whether it still holds.
+    Duration limitMemory { std::chrono::seconds(30) };
+    // For how long after a response that named the limit one without it is ignored: responses that reach two daemons may be
+    // reported in the wrong order.
+    Duration limitReorderSpan { std::chrono::milliseconds(250) };
     // How long it is remembered that a target has gone: longer than a copy of the store is old.
     Duration goneMemory { std::chrono::seconds(60) };
 };
@@ -47,6 +53,8 @@
     // Until when the target wants no requests from this daemon; none if it has not said so. Lasts as long as the entry
     // and the target's incarnation.
     std::optional<TimePoint> heldOffUntil {};
+    // When the limit in the entry's target was last named; none if the target has no limit.
+    std::optional<TimePoint> limitNamedAt {};
 };
 
 // A target that was dropped.
@@ -78,6 +86,8 @@
     std::vector<std::string> dropped;
     // Instances that have announced that they leave.
     std::vector<std::string> leaving;
+    // Instances whose limit on requests has begun, changed or ended.
+    std::vector<std::string> limitsChanged;
     // Instances that are kept for a grace period although their entries were removed.
     std::vector<std::string> inGracePeriod;
 };
@@ -96,10 +106,11 @@
 // the store has had the time to remove them. Those of a later start are used at once.
 void markStoreReturned(TargetDirectory&, TimePoint now);
 
-// Drops the targets whose grace period has ended, and uses the reappeared ones that are still listed.
+// Drops the targets whose grace period has ended, uses the reappeared ones that are still listed, and forgets limits that
+// were not named again.
 DirectoryChange expireEntries(TargetDirectory&, TimePoint now);
 
-// Returns when expireEntries() is due next; none when no grace period has a known end. Linear in all entries.
+// Returns when expireEntries() is due next; none when no limit and no grace period has a known end. Linear in all entries.
 std::optional<TimePoint> nextEntryExpiry(const TargetDirectory&);
 
 // Returns the targets of a service, leaving ones included. Linear in all entries.
@@ -112,6 +123,10 @@
 // or has restarted since startedAt. Logarithmic.
 DirectoryChange markLeaving(TargetDirectory&, std::string_view instance, std::int64_t startedAt);
 
+// Records the limit that a target has named, in requests per second, or that a response of it named none. Ignored if the
+// instance isn't listed or has restarted since startedAt. Logarithmic.
+DirectoryChange setRequestLimit(TargetDirectory&, std::string_view instance, std::int64_t startedAt, std::optional<double> perSecond, TimePoint now);
+
 // Records that a target wants no requests from this daemon before the given time. An end that is later already stays.
 // Ignored if the instance isn't listed or has restarted since startedAt. Logarithmic.
 void holdOff(TargetDirectory&, std::string_view instance, std::int64_t startedAt, TimePoint until);
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -121,6 +121,7 @@
     attempt.dispatcher = dispatcher;
     attempt.targetStartedAt = target.startedAt;
     attempt.startedAt = now;
+    attempt.limited = decision.limited;
     this->triedInstances.push_back(decision.instance);
     ++this->sentCount;
     if (this->sentCount > 1)
@@ -205,7 +206,7 @@
         this->context.onTargetLeaving(attempt.instance, attempt.targetStartedAt);
     if (result.holdOff || result.holdOffUnreadable)
         this->recordHoldOff(attempt, result);
-    this->logLimit(attempt, result.limit);
+    this->reportLimit(attempt, result.limit);
     if (result.outcome == AttemptOutcome::Succeeded) {
         this->forwardResponse(result.response);
         return;
@@ -250,14 +251,19 @@
     this->context.log.write(EventScope::Request, "entry", "held-off", fields.milliseconds("forMs", *result.holdOff));
 }
 
-void ActiveRequest::logLimit(const Attempt& attempt, const LimitStatement& limit)
+void ActiveRequest::reportLimit(const Attempt& attempt, const LimitStatement& limit)
 {
     EventFields fields;
     fields.text("request", this->requestId).text("target", attempt.instance);
     if (limit.kind == LimitStatementKind::Unreadable)
         this->context.log.write(EventScope::Request, "entry", "limit-unreadable", fields.text("limit", limit.text));
-    else if (limit.kind == LimitStatementKind::Named)
+    const bool named = limit.kind == LimitStatementKind::Named;
+    if (named)
         this->context.log.write(EventScope::Request, "entry", "limit-named", fields.real("requestsPerSecond", limit.requestsPerSecond));
+    const auto known = this->context.directory.entries.find(attempt.instance);
+    const bool hadLimit = attempt.limited || (known != this->context.directory.entries.end() && known->second.limitNamedAt);
+    if (named || (limit.kind == LimitStatementKind::None && hadLimit))
+        this->context.onTargetLimit({ attempt.instance, attempt.targetStartedAt, named ? std::optional<double>(limit.requestsPerSecond) : std::nullopt });
 }
 
 bool ActiveRequest::mayRetry() const
--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -55,6 +55,8 @@
         // Identifies the attempt to TargetConnections::cancel().
         std::uint64_t connectionAttempt { 0 };
         TimePoint startedAt;
+        // The dispatcher knows of a limit on the target's requests.
+        bool limited { false };
     };
 
     unsigned targetGroupCount() const;
@@ -83,8 +85,8 @@
     void checkForCrash(const Attempt&);
     // Keeps this daemon's requests from a target that has rejected one and named a time.
     void recordHoldOff(const Attempt&, const AttemptResult&);
-    // Logs the limit on requests that the response names.
-    void logLimit(const Attempt&, const LimitStatement&);
+    // Passes on what the response says of its target's limit on requests, if the target has or had one.
+    void reportLimit(const Attempt&, const LimitStatement&);
     void sendAttempt(const grants::Decision&, const std::string& dispatcher);
     void handleAttemptEnd(std::uint64_t number, AttemptResult);
     // Reports the end to the local pool, to the dispatcher that granted the attempt and to the current one.
--- a/packages/proxy/src/ActiveRequestGrants.cpp
+++ b/packages/proxy/src/ActiveRequestGrants.cpp
@@ -274,7 +274,7 @@
     this->entry.pendingGrantRequests.erase(this->pendingGrant->number);
     this->pendingGrant.reset();
     this->lastRetryAfter = decision.retryAfter;
-    this->lastFailureReason = toString(decision.reason);
+    this->lastFailureReason = decision.limited ? "at-limit" : toString(decision.reason);
     this->context.log.write(EventScope::Request, "entry", "refused",
         EventFields().text("request", this->requestId).text("group", group).text("reason", this->lastFailureReason).number("waiting", static_cast<std::int64_t>(decision.queueLength)).milliseconds("retryAfterMs", decision.retryAfter).flag("repeat", isRetry));
     if (decision.reason == grants::RefusalReason::RequestQuarantined) {
--- a/packages/proxy/src/DispatcherHost.cpp
+++ b/packages/proxy/src/DispatcherHost.cpp
@@ -48,6 +48,10 @@
 {
     std::vector<grants::ListedTarget> listed = this->callbacks.listTargets(group.service);
     std::erase_if(listed, [&group](const grants::ListedTarget& target) { return !isInGroup(group, target.instance); });
+    for (grants::ListedTarget& target : listed) {
+        if (target.requestsPerSecond)
+            *target.requestsPerSecond *= this->requestLimitShare;
+    }
     const double share = this->retryShare / group.count;
     grants::setRetryBudget(pool.retryBudget, this->settings.retryRatio, this->settings.retryBurst * share);
     this->deliver(grants::setTargets(pool, listed, Clock::now()));
@@ -97,7 +101,7 @@
 void DispatcherHost::attemptRunning(const grants::AttemptId& attemptId, const RunningAttemptMessage& message)
 {
     if (grants::TargetPool* pool = this->poolOf(message.group))
-        grants::recordStartedAttempt(*pool, attemptId, message.instance, { Clock::now() - message.age, message.workload });
+        grants::recordStartedAttempt(*pool, attemptId, message.instance, { Clock::now() - message.age, message.workload }, Clock::now());
     this->scheduleExpiry();
 }
 
--- a/packages/proxy/src/PeerLink.cpp
+++ b/packages/proxy/src/PeerLink.cpp
@@ -5,6 +5,8 @@
 #include <asio/post.hpp>
 #include <grants.pb.h>
 
+#include <cmath>
+
 namespace flamingowick::proxy {
 
 namespace {
@@ -63,6 +65,7 @@
         decision.failureProbability = wireReply.failing();
         decision.inFlight = wireReply.in_flight();
         decision.queueLength = wireReply.waiting();
+        decision.limited = wireReply.limited();
         return message;
     }
 
@@ -135,6 +138,7 @@
     wireReply.set_failing(static_cast<float>(decision.failureProbability));
     wireReply.set_in_flight(decision.inFlight);
     wireReply.set_waiting(static_cast<std::uint32_t>(decision.queueLength));
+    wireReply.set_limited(decision.limited);
 }
 
 void PeerLink::send(const std::string& address, const AttemptEndMessage& message)
@@ -191,6 +195,15 @@
     refusal.set_remaining(toMilliseconds(notice.remaining));
 }
 
+void PeerLink::send(const std::string& address, const TargetLimitMessage& message)
+{
+    wire::TargetLimit& limit = *this->pendingDatagramTo(address).add_target_limits();
+    limit.set_instance(message.instance);
+    limit.set_started_at(message.startedAt);
+    limit.set_named(message.requestsPerSecond.has_value());
+    limit.set_requests_per_second(message.requestsPerSecond.value_or(0));
+}
+
 void PeerLink::flush()
 {
     this->flushScheduled = false;
@@ -249,6 +262,12 @@
         this->handlers.onSurvival(source, { fingerprint });
     for (const wire::Running& running : datagram.running())
         this->handlers.onRunningAttempt(source, { running.number(), running.service(), running.instance(), milliseconds(running.age()), running.workload() });
+    // Limits are handled before the ends of attempts, after which further requests are granted.
+    for (const wire::TargetLimit& limit : datagram.target_limits()) {
+        const double perSecond = limit.requests_per_second();
+        if (std::isfinite(perSecond) && perSecond >= 0)
+            this->handlers.onTargetLimit(source, { limit.instance(), limit.started_at(), limit.named() ? std::optional<double>(perSecond) : std::nullopt });
+    }
     // Ends of attempts are handled before grant requests, because they free slots for them.
     for (const wire::End& end : datagram.ends())
         this->handlers.onAttemptEnd(source, { end.number(), end.service(), boundedEnum(end.outcome(), grants::AttemptOutcome::Abandoned), milliseconds(end.lasted()) });
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -25,6 +25,8 @@
     // Leaves file descriptors for targets, peers and the store.
     constexpr unsigned maxCallerConnections = 3000;
     constexpr unsigned maxMonitoringConnections = 32;
+    // Daemons that are told of a target's limit: its dispatcher, and those that take over when it and the next one end.
+    constexpr std::size_t limitKeeperCount = 3;
 
     DispatcherCallbacks makeDispatcherCallbacks(std::function<void(const grants::Decision&)> deliverDecision, std::function<void(const grants::AttemptId&)> queryAttempt, const TargetDirectory& directory)
     {
@@ -59,8 +61,9 @@
         this->scheduleProbes();
         this->handleFleetChange();
     };
+    const auto handleTargetLimit = [this](const TargetLimitMessage& message) { this->spreadTargetLimit(message); };
     const auto handleTargetLeaving = [this](std::string_view instance, std::int64_t startedAt) { this->applyDirectoryChange(markLeaving(this->directory, instance, startedAt)); };
-    this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->appliedConfiguration, this->directory, this->fleet, *this->peers, *this->hostedPools, *this->localPools, *this->links, *this->quarantine, this->log, this->metrics, this->ownIncarnation, handleMemberSuspected, handleTargetLeaving });
+    this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->appliedConfiguration, this->directory, this->fleet, *this->peers, *this->hostedPools, *this->localPools, *this->links, *this->quarantine, this->log, this->metrics, this->ownIncarnation, handleMemberSuspected, handleTargetLeaving, handleTargetLimit });
     this->entry = std::make_unique<Entry>(*this->context);
     const auto limits = [this] { return this->appliedConfiguration ? this->appliedConfiguration->configuration.limits : CallerLimits {}; };
     this->readinessServer = std::make_unique<CallerServer>(this->io, this->settings.readyAddress, maxMonitoringConnections,
@@ -146,6 +149,15 @@
         this->hostedPools->handleTargetChange(service);
         this->localPools->handleTargetChange(service);
     }
+    for (const std::string& instance : change.limitsChanged) {
+        const auto known = this->directory.entries.find(instance);
+        const bool limited = known != this->directory.entries.end() && known->second.entry.target.requestsPerSecond.has_value();
+        EventFields fields;
+        fields.text("target", instance);
+        if (limited)
+            fields.real("requestsPerSecond", known->second.entry.target.requestsPerSecond.value_or(0));
+        this->log.write(EventScope::Process, "targets", limited ? "limited" : "limit-ended", fields);
+    }
     this->scheduleDirectoryExpiry();
     this->scheduleLogFlush();
 }
@@ -193,7 +205,9 @@
     const std::size_t before = this->fleet.members.size();
     flamingowick::proxy::setMembers(this->fleet, members, Clock::now());
     // Each member has local pools of its own; together they get the share of one dispatcher.
-    this->localPools->setRetryShare(0.4 / static_cast<double>(std::max<std::size_t>(1, this->fleet.members.size())));
+    const auto memberCount = static_cast<double>(std::max<std::size_t>(1, this->fleet.members.size()));
+    this->localPools->setRetryShare(0.4 / memberCount);
+    this->localPools->setRequestLimitShare(1 / memberCount);
     if (before != this->fleet.members.size())
         this->log.write(EventScope::Process, "fleet", "members", EventFields().number("count", static_cast<std::int64_t>(this->fleet.members.size())).number("before", static_cast<std::int64_t>(before)));
     if (before <= 1)
@@ -254,9 +268,46 @@
         this->quarantine->handleNotice(notice);
         this->scheduleLogFlush();
     };
+    handlers.onTargetLimit = [this](const PeerSource&, const TargetLimitMessage& message) { this->recordTargetLimit(message); };
     return handlers;
 }
 
+std::vector<std::string> Proxy::limitKeepersFor(const TargetEntry& target)
+{
+    const unsigned groupCount = groupCountFor(countTargets(this->directory, target.service));
+    std::vector<std::string> keepers = dispatchersFor(this->fleet, groupName(groupOf(target.service, target.target.instance, groupCount)));
+    keepers.resize(std::min(keepers.size(), limitKeeperCount));
+    return keepers;
+}
+
+void Proxy::recordTargetLimit(const TargetLimitMessage& message)
+{
+    this->applyDirectoryChange(setRequestLimit(this->directory, message.instance, message.startedAt, message.requestsPerSecond, Clock::now()));
+}
+
+void Proxy::spreadTargetLimit(const TargetLimitMessage& message)
+{
+    const auto known = this->directory.entries.find(message.instance);
+    if (known == this->directory.entries.end())
+        return;
+    for (const std::string& keeper : this->limitKeepersFor(known->second.entry)) {
+        if (keeper != this->fleet.self)
+            this->peers->send(this->fleet.members.at(keeper).address, message);
+    }
+    this->recordTargetLimit(message);
+}
+
+void Proxy::sendLimitsTo(const std::string& address)
+{
+    for (const auto& [instance, known] : this->directory.entries) {
+        if (!known.limitNamedAt)
+            continue;
+        const std::vector<std::string> keepers = this->limitKeepersFor(known.entry);
+        if (std::find(keepers.begin(), keepers.end(), this->fleet.self) != keepers.end())
+            this->peers->send(address, TargetLimitMessage { instance, known.entry.startedAt, known.entry.target.requestsPerSecond });
+    }
+}
+
 QuarantineCallbacks Proxy::makeQuarantineCallbacks()
 {
     QuarantineCallbacks callbacks;
@@ -279,6 +330,7 @@
     if (markMemberAlive(this->fleet, name)) {
         this->log.write(EventScope::Process, "fleet", "member-heard", EventFields().text("member", name));
         this->quarantine->sendRefusalsTo(source.address);
+        this->sendLimitsTo(source.address);
         this->handleFleetChange();
     }
     PeerIncarnations& incarnations = this->peerIncarnations[source.address];
@@ -336,8 +388,9 @@
     }
     this->recordPeerContact(source);
     if (message.wantsReply) {
-        // A daemon that has just started knows no refusals.
+        // A daemon that has just started knows no refusals and no limits.
         this->quarantine->sendRefusalsTo(source.address);
+        this->sendLimitsTo(source.address);
         this->peers->send(source.address, PresenceMessage { this->settings.vm, this->settings.peerAddress, this->stopping, false, this->settings.failureDomain });
     }
     this->scheduleLogFlush();
@@ -409,6 +462,7 @@
 {
     this->metrics.setGauge("flamingowick_configuration_version", {}, this->appliedConfiguration ? static_cast<double>(this->appliedConfiguration->configuration.version) : 0);
     this->metrics.setGauge("flamingowick_targets", {}, static_cast<double>(this->directory.entries.size()));
+    this->metrics.setGauge("flamingowick_limited_targets", {}, static_cast<double>(std::count_if(this->directory.entries.begin(), this->directory.entries.end(), [](const auto& item) { return item.second.limitNamedAt.has_value(); })));
     this->metrics.setGauge("flamingowick_members", {}, static_cast<double>(this->fleet.members.size()));
     this->metrics.setGauge("flamingowick_requests_running", {}, static_cast<double>(this->entry->activeRequestCount()));
     this->metrics.setGauge("flamingowick_target_connections_idle", {}, static_cast<double>(this->links->idleConnectionCount()));
--- a/packages/proxy/src/TargetDirectory.cpp
+++ b/packages/proxy/src/TargetDirectory.cpp
@@ -57,8 +57,11 @@
             const bool sameIncarnation = known.startedAt == entry.startedAt && known.target.address == entry.target.address;
             if (sameIncarnation && known.target.leaving)
                 next.entry.target.leaving = true;
-            if (sameIncarnation)
+            if (sameIncarnation) {
                 next.heldOffUntil = found->second.heldOffUntil;
+                next.limitNamedAt = found->second.limitNamedAt;
+                next.entry.target.requestsPerSecond = known.target.requestsPerSecond;
+            }
             if (!sameIncarnation)
                 change.dropped.push_back(entry.target.instance);
             change.changedServices.insert(known.service);
@@ -141,6 +144,14 @@
         for (const auto& [instance, entry] : reappeared)
             putEntry(directory, entry, now, change);
     }
+    for (auto& [instance, known] : directory.entries) {
+        if (!known.limitNamedAt || *known.limitNamedAt + directory.limits.limitMemory > now)
+            continue;
+        known.limitNamedAt.reset();
+        known.entry.target.requestsPerSecond.reset();
+        change.changedServices.insert(known.entry.service);
+        change.limitsChanged.push_back(instance);
+    }
     std::erase_if(directory.entries, [&directory, &change, now](const auto& item) {
         const auto& [instance, known] = item;
         if (!known.graceEndsAt || *known.graceEndsAt > now)
@@ -159,8 +170,10 @@
     if (!directory.reappeared.empty())
         next = directory.leftOutUntil;
     for (const auto& [instance, known] : directory.entries) {
-        if (known.graceEndsAt && *known.graceEndsAt != TimePoint::max() && (!next || *known.graceEndsAt < *next))
-            next = known.graceEndsAt;
+        if (known.graceEndsAt && *known.graceEndsAt != TimePoint::max())
+            next = std::min(next.value_or(TimePoint::max()), *known.graceEndsAt);
+        if (known.limitNamedAt)
+            next = std::min(next.value_or(TimePoint::max()), *known.limitNamedAt + directory.limits.limitMemory);
     }
     return next;
 }
@@ -192,6 +205,24 @@
     return change;
 }
 
+DirectoryChange setRequestLimit(TargetDirectory& directory, std::string_view instance, std::int64_t startedAt, std::optional<double> perSecond, TimePoint now)
+{
+    DirectoryChange change;
+    const auto found = directory.entries.find(instance);
+    if (found == directory.entries.end() || found->second.entry.startedAt != startedAt)
+        return change;
+    DirectoryEntry& known = found->second;
+    if (!perSecond && (!known.limitNamedAt || now - *known.limitNamedAt < directory.limits.limitReorderSpan))
+        return change;
+    known.limitNamedAt = perSecond ? std::optional<TimePoint>(now) : std::nullopt;
+    if (known.entry.target.requestsPerSecond == perSecond)
+        return change;
+    known.entry.target.requestsPerSecond = perSecond;
+    change.changedServices.insert(known.entry.service);
+    change.limitsChanged.emplace_back(instance);
+    return change;
+}
+
 void holdOff(TargetDirectory& directory, std::string_view instance, std::int64_t startedAt, TimePoint until)
 {
     const auto found = directory.entries.find(instance);
--- a/packages/proxy/tests/unit-request-limit.cpp
+++ b/packages/proxy/tests/unit-request-limit.cpp
@@ -90,6 +90,70 @@
     CHECK_COMPARE(limited.arrivals.size(), >=, 8);
 }
 
+// Guards against requests that wait, or reach the targets, although all of these are at their limits.
+TEST(RequestLimit, OfAllTargetsIsAnsweredAtOnceWithTheTimeOfTheNextRequestThatTheyTake)
+{
+    const LimitedTarget& first = addTarget("0.5");
+    const LimitedTarget& second = addTarget("0.25");
+    testBed.start(2, false);
+    sendFor(milliseconds(500));
+    unsigned refused = 0;
+    const TimePoint start = Clock::now();
+    sendFor(milliseconds(2500), [&](const HttpMessage& response) {
+        if (response.status == 200)
+            return;
+        ++refused;
+        CHECK_EQUAL(503, response.status);
+        CHECK_EQUAL(std::string("at-limit\n"), response.body);
+        const double retryAfter = std::stod(std::string(headerValue(response, "Retry-After")));
+        CHECK(retryAfter >= 0.1 && retryAfter <= 4);
+    });
+    CHECK_COMPARE(refused, >, 30);
+    CHECK_COMPARE(first.mostInWindow(start), <=, allowedInWindow(0.5));
+    CHECK_COMPARE(second.mostInWindow(start), <=, allowedInWindow(0.25));
+}
+
+TEST(RequestLimit, EndsOnceResponsesNoLongerNameIt)
+{
+    LimitedTarget& target = addTarget("5");
+    testBed.start(2, false);
+    sendFor(milliseconds(1500));
+    CHECK_COMPARE(target.arrivals.size(), <=, 12);
+    target.limit.clear();
+    sendFor(milliseconds(600));
+    const std::size_t before = target.arrivals.size();
+    sendFor(milliseconds(1000));
+    CHECK_COMPARE(target.arrivals.size() - before, >, 20);
+}
+
+// Guards against a limit that is known to nobody once its dispatcher has ended.
+TEST(RequestLimit, HoldsWhenAnotherDaemonTakesOver)
+{
+    const LimitedTarget& limited = addTarget("2");
+    testBed.start(4, false);
+    const TimePoint start = Clock::now();
+    sendFor(milliseconds(1500));
+    for (int ended = 0; ended < 2; ++ended) {
+        Proxy& any = **std::find_if(testBed.proxies.begin(), testBed.proxies.end(), [](const auto& proxy) { return proxy != nullptr; });
+        const std::string dispatcher = dispatchersFor(any.fleetState(), "stock/0/1").front();
+        const auto index = std::find_if(testBed.settings.begin(), testBed.settings.end(), [&](const ProxySettings& each) { return each.vm == dispatcher; }) - testBed.settings.begin();
+        testBed.proxies.at(static_cast<std::size_t>(index)).reset();
+        sendFor(milliseconds(1500));
+    }
+    CHECK_COMPARE(limited.mostInWindow(start + seconds(1)), <=, allowedInWindow(2));
+}
+
+// Guards against a target being throttled by a limit that it did not name.
+TEST(RequestLimit, IsIgnoredWhenItCannotBeRead)
+{
+    LimitedTarget& target = addTarget("");
+    testBed.start(1, false);
+    for (const std::string& value : { std::string("few"), std::string("-1"), std::string("1, 1"), std::string(10'000, '1') + "x", std::string("1\r\nX-Limit: 2") }) {
+        target.limit = value;
+        sendFor(milliseconds(200), [](const HttpMessage& response) { CHECK_EQUAL(200, response.status); });
+    }
+}
+
 TEST(RequestLimit, IsADecimalNumberOfRequestsPerSecond)
 {
     CHECK(parseRequestLimit("1.8") == std::optional<double>(1.8));
@@ -110,3 +174,59 @@
     response.headers.clear();
     CHECK(readLimit(response, "X-Limit").kind == LimitStatementKind::None);
 }
+
+TEST_GROUP(TargetDirectoryLimits)
+{
+    TimePoint now { Clock::now() };
+    TargetDirectory directory;
+    TargetEntry entry;
+
+    void setup() override
+    {
+        entry.service = "stock";
+        entry.target.instance = "i-1";
+        entry.startedAt = 2;
+        applyEntryChanges(directory, std::vector<TargetEntry> { entry }, {}, now);
+    }
+
+    std::optional<double> limit() const { return directory.entries.at("i-1").entry.target.requestsPerSecond; }
+};
+
+TEST(TargetDirectoryLimits, IgnoreAnEarlierIncarnationAndUnknownTargets)
+{
+    CHECK(setRequestLimit(directory, "i-1", 1, 5, now).limitsChanged.empty());
+    CHECK(setRequestLimit(directory, "unknown", 2, 5, now).limitsChanged.empty());
+    CHECK_FALSE(limit().has_value());
+}
+
+TEST(TargetDirectoryLimits, StayWhileTheTargetWritesItsEntryAndEndWhenItRestarts)
+{
+    setRequestLimit(directory, "i-1", 2, 5, now);
+    entry.target.slots = 4;
+    applyEntryChanges(directory, std::vector<TargetEntry> { entry }, {}, now);
+    CHECK(limit() == std::optional<double>(5));
+    entry.startedAt = 3;
+    applyEntryChanges(directory, std::vector<TargetEntry> { entry }, {}, now);
+    CHECK_FALSE(limit().has_value());
+}
+
+// Guards against a response from before the limit, reported late, ending it.
+TEST(TargetDirectoryLimits, OutlastALateReportOfAResponseWithoutOne)
+{
+    setRequestLimit(directory, "i-1", 2, 5, now);
+    setRequestLimit(directory, "i-1", 2, std::nullopt, now + milliseconds(100));
+    CHECK(limit() == std::optional<double>(5));
+    CHECK_EQUAL(1, setRequestLimit(directory, "i-1", 2, std::nullopt, now + milliseconds(300)).limitsChanged.size());
+    CHECK_FALSE(limit().has_value());
+}
+
+TEST(TargetDirectoryLimits, AreForgottenWhenNoResponseRepeatsThem)
+{
+    setRequestLimit(directory, "i-1", 2, 5, now);
+    setRequestLimit(directory, "i-1", 2, 5, now + seconds(20));
+    CHECK(nextEntryExpiry(directory) == std::optional<TimePoint>(now + seconds(50)));
+    CHECK(expireEntries(directory, now + seconds(49)).limitsChanged.empty());
+    CHECK_EQUAL(1, expireEntries(directory, now + seconds(50)).limitsChanged.size());
+    CHECK_FALSE(limit().has_value());
+    CHECK_FALSE(nextEntryExpiry(directory).has_value());
+}
