Bound responses without end over all attempts

A target that sends interim responses, or ones to other requests, without end held a request and its connection until the deadline: 131 and 73 MB were read before the request ended otherwise. Fifty responses of 8 MiB each, the limit of one, exceed the memory of a small VM together. At most 16 responses are passed over now, and 64 MiB held over all attempts; the attempt that exceeds either counts as a broken connection.

--- a/packages/proxy/include/flamingowick/proxy/HttpMessage.h
+++ b/packages/proxy/include/flamingowick/proxy/HttpMessage.h
@@ -80,6 +80,8 @@
     // Whether any byte of the current message has been parsed.
     bool hasStarted() const noexcept { return this->messageStarted; }
     bool hasCompleteHeaders() const noexcept { return this->headersCompleted; }
+    // Bytes of the current message's header and body that are held.
+    std::uint64_t heldBytes() const noexcept { return this->headerBytes + this->currentMessage.body.size(); }
     HttpMessage& message() noexcept { return this->currentMessage; }
 
 private:
--- a/packages/proxy/include/flamingowick/proxy/TargetConnections.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetConnections.h
@@ -103,6 +103,11 @@
 
     std::uint64_t openedConnections() const noexcept { return this->connectionsOpened; }
     std::size_t idleConnectionCount() const noexcept;
+    // Bytes of responses that are being received, over all attempts; at most maxHeldResponseBytes.
+    std::uint64_t heldResponseBytes() const noexcept { return this->responseBytes; }
+
+    // An attempt whose response would exceed this is broken off. A quarter of the memory of a small VM.
+    static constexpr std::uint64_t maxHeldResponseBytes = 64U << 20U;
 
 private:
     friend class TargetConnection;
@@ -115,6 +120,7 @@
     std::unordered_set<std::shared_ptr<LivenessCheck>> livenessChecks;
     std::uint64_t lastAttempt { 0 };
     std::uint64_t connectionsOpened { 0 };
+    std::uint64_t responseBytes { 0 };
 };
 
 // Classifies a complete response: whether the target executed the request and how the attempt ended. A response that has
--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -23,6 +23,9 @@
     constexpr double idempotentReuseShare = 0.8;
     constexpr double nonIdempotentReuseShare = 0.6;
     constexpr std::size_t maxIdlePerInstance = 4;
+    // Interim responses and late ones to earlier requests that are passed over before the response. A target that goes on
+    // sending them would otherwise hold the request until its deadline.
+    constexpr unsigned maxIgnoredResponses = 16;
     // How long a connection must last to show that its target is alive. A process closes all its sockets within
     // milliseconds, on a busy VM within tens of them.
     constexpr Duration livenessHoldTime { std::chrono::milliseconds(250) };
@@ -121,6 +124,7 @@
         this->reader.restart(this->spec.responseLimits, this->spec.isHeadRequest);
         this->mustClose = false;
         this->sent = false;
+        this->ignoredResponses = 0;
         if (this->socket.is_open())
             this->send();
         else
@@ -139,12 +143,19 @@
     {
         this->closed = true;
         this->handler = nullptr;
+        this->countHeldBytes(0);
         asio::error_code ignored;
         this->socket.close(ignored);
         this->timer.cancel();
     }
 
 private:
+    void countHeldBytes(std::uint64_t bytes)
+    {
+        this->owner.responseBytes += bytes - this->heldBytes;
+        this->heldBytes = bytes;
+    }
+
     void connect()
     {
         this->newConnection = true;
@@ -223,6 +234,11 @@
     {
         while (!bytes.empty()) {
             bytes.remove_prefix(this->reader.parse(bytes));
+            this->countHeldBytes(this->reader.heldBytes());
+            if (this->owner.responseBytes > TargetConnections::maxHeldResponseBytes) {
+                this->failAttempt(grants::AttemptOutcome::ConnectionBroken, "responses-too-large");
+                return;
+            }
             if (this->reader.state() == ReadState::Incomplete)
                 break;
             if (this->reader.state() != ReadState::Complete) {
@@ -232,6 +248,10 @@
             }
             if (this->isInterimOrStale()) {
                 this->mustClose = true;
+                if (++this->ignoredResponses > maxIgnoredResponses) {
+                    this->failAttempt(grants::AttemptOutcome::ConnectionBroken, "too-many-responses");
+                    return;
+                }
                 this->reader.restart(this->spec.responseLimits, this->spec.isHeadRequest);
                 continue;
             }
@@ -302,6 +322,7 @@
         const std::shared_ptr<TargetConnection> self = this->shared_from_this();
         const AttemptHandler completion = std::move(this->handler);
         this->handler = nullptr;
+        this->countHeldBytes(0);
         this->owner.activeConnections.erase(this->attempt);
         if (reuse) {
             this->newConnection = false;
@@ -341,6 +362,9 @@
     AttemptSpec spec;
     AttemptHandler handler;
     std::uint64_t attempt { 0 };
+    // Of the response, as counted in TargetConnections::responseBytes.
+    std::uint64_t heldBytes { 0 };
+    unsigned ignoredResponses { 0 };
     TimePoint idleSince;
     Duration idleTimeout { 0 };
     bool newConnection { false };
--- a/packages/proxy/tests/ProxyTestBed.h
+++ b/packages/proxy/tests/ProxyTestBed.h
@@ -61,6 +61,10 @@
     // How long a crashed target, whose connections have ended, still accepts new ones, as a dying process does.
     Duration acceptTimeAfterCrash { 0 };
     unsigned crashes { 0 };
+    // Sent after each response again and again, until the peer closes the connection; empty for nothing.
+    std::string endlessBytes;
+    std::uint64_t endlessBytesSent { 0 };
+    unsigned endlessResponsesClosed { 0 };
 
 private:
     struct Connection : std::enable_shared_from_this<Connection> {
@@ -104,10 +108,23 @@
             if (!bytes)
                 return;
             asio::write(this->socket, asio::buffer(*bytes));
+            if (!this->owner.endlessBytes.empty())
+                this->writeWithoutEnd();
             if (this->owner.closeAfterResponse)
                 this->socket.shutdown(asio::ip::tcp::socket::shutdown_send);
         }
 
+        void writeWithoutEnd()
+        {
+            asio::async_write(this->socket, asio::buffer(this->owner.endlessBytes), [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
+                self->owner.endlessBytesSent += size;
+                if (error)
+                    ++self->owner.endlessResponsesClosed;
+                else
+                    self->writeWithoutEnd();
+            });
+        }
+
         void reset()
         {
             this->socket.set_option(asio::socket_base::linger(true, 0));
