Estimate queue waits by slots while limited targets have tokens

A queue before targets that all name limits was taken to move at once when one of them had a token but no free slot, so that requests were queued in vain. The estimate counts the time to a token only while all are at their limits.

--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -1,5 +1,7 @@
 #include "flamingowick/grants/TargetPool.h"
 
+#include "QueueWait.h"
+
 #include "flamingowick/model/StableHash.h"
 
 #include <algorithm>
@@ -24,10 +26,6 @@
     // For traffic to another failure domain and for opening a connection: both have a price.
     constexpr double crossDomainWeight = 0.01;
     constexpr double newConnectionWeight = 0.03;
-    // Time constant of the release rate, and the lowest release rate that is assumed, as a share of the rate at usual
-    // latency. Without that minimum, the expected wait would grow without bound during a gap in the releases.
-    constexpr double releaseDecaySeconds = 1;
-    constexpr double minReleaseRateShare = 0.1;
 
     // Age at which the slot of an attempt whose end was never reported is freed.
     constexpr Duration maxAttemptAge { seconds(12) };
@@ -247,85 +245,33 @@
         return decision;
     }
 
-    // What the eligible targets can take.
-    struct Capacity {
-        // Slots, of which a target that names a limit has no more than keep it at that limit at the usual latency.
-        double slots { 0 };
-        // Set when every eligible target names a limit: the time until one of them takes a request.
-        std::optional<Duration> timeToToken;
-    };
-
     // Assumed slots of a pool whose targets name limits near zero, so that waits stay finite.
     constexpr double minCapacitySlots = 0.01;
 
-    double medianLatencySeconds(const TargetPool& pool)
-    {
-        return std::max(std::chrono::duration<double>(quantile(pool.overallLatency, 0.5)).count(), 1e-3);
-    }
-
     Capacity eligibleCapacity(TargetPool& pool, TimePoint now)
     {
         Capacity capacity;
         const double latencySeconds = medianLatencySeconds(pool);
-        bool allLimited = true;
+        bool allAtLimit = true;
+        Duration soonestToken = Duration::max();
         for (const Candidate& candidate : eligibleTargets(pool, now)) {
             const double slots = candidate.target->listed.slots;
             const std::optional<RequestLimit>& limit = candidate.target->requestLimit;
             capacity.slots += limit ? std::min(slots, limit->perSecond * latencySeconds) : slots;
-            allLimited = allLimited && limit;
+            allAtLimit = allAtLimit && isAtLimit(*candidate.target, now);
             if (limit)
-                capacity.timeToToken = std::min(capacity.timeToToken.value_or(Duration::max()), timeToToken(*limit, now));
+                soonestToken = std::min(soonestToken, timeToToken(*limit, now));
         }
-        if (!allLimited)
-            capacity.timeToToken.reset();
+        if (allAtLimit && soonestToken != Duration::max())
+            capacity.timeToToken = soonestToken;
         capacity.slots = std::max(capacity.slots, minCapacitySlots);
         return capacity;
     }
 
-    double decayedRate(const SlotReleaseRate& releaseRate, TimePoint now) noexcept
-    {
-        const double elapsed = std::chrono::duration<double>(now - releaseRate.updatedAt).count();
-        return releaseRate.perSecond * std::exp(-elapsed / releaseDecaySeconds);
-    }
-
-    void recordRelease(SlotReleaseRate& releaseRate, TimePoint now) noexcept
-    {
-        releaseRate.perSecond = decayedRate(releaseRate, now) + 1 / releaseDecaySeconds;
-        releaseRate.updatedAt = now;
-    }
-
-    // Estimates how many slots become free in a second. While the queue has only just formed, the estimate follows the
-    // usual latency; the longer it has not been empty, the more it follows the measured release rate.
-    double estimateReleaseRate(const TargetPool& pool, const Capacity& capacity, TimePoint now)
-    {
-        const double rateAtUsualLatency = capacity.slots / medianLatencySeconds(pool);
-        // Releases say nothing of when targets that are at their limits take further requests.
-        if (capacity.timeToToken)
-            return rateAtUsualLatency;
-        const double secondsNonEmpty = pool.queueNonEmptySince ? std::chrono::duration<double>(now - *pool.queueNonEmptySince).count() : 0;
-        const double measuredWeight = 1 - std::exp(-secondsNonEmpty / releaseDecaySeconds);
-        const double measured = std::max(decayedRate(pool.releaseRate, now), rateAtUsualLatency * minReleaseRateShare);
-        return measuredWeight * measured + (1 - measuredWeight) * rateAtUsualLatency;
-    }
-
-    // Returns the wait of a request that has the given number of requests ahead of it in the queue.
-    Duration queueWaitAtRate(double releasesPerSecond, std::size_t ahead)
-    {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((static_cast<double>(ahead) + 1) / releasesPerSecond));
-    }
-
-    Duration estimateQueueWait(const TargetPool& pool, std::size_t ahead, const Capacity& capacity, TimePoint now)
-    {
-        const double releasesPerSecond = estimateReleaseRate(pool, capacity, now);
-        if (!capacity.timeToToken)
-            return queueWaitAtRate(releasesPerSecond, ahead);
-        return ahead == 0 ? *capacity.timeToToken : *capacity.timeToToken + queueWaitAtRate(releasesPerSecond, ahead - 1);
-    }
-
     Decision refuseForLackOfRoom(TargetPool& pool, const GrantRequest& request, const Capacity& capacity, TimePoint now)
     {
         Decision decision = refuse(pool, request, RefusalReason::NoSlotInTime, estimateQueueWait(pool, pool.queue.size(), capacity, now), now);
-        decision.limited = capacity.timeToToken && *capacity.timeToToken > Duration::zero();
+        decision.limited = capacity.timeToToken.has_value();
         return decision;
     }
 
--- a/packages/grants/tests/unit-request-limit.cpp
+++ b/packages/grants/tests/unit-request-limit.cpp
@@ -94,6 +94,19 @@
     CHECK(decisions.front().limited);
 }
 
+TEST(PoolLimits, DoNotShortenTheWaitForASlotWhileThereAreTokens)
+{
+    listTargets(1, std::array { 20.0 }, 1);
+    fixture.recordLatencies(milliseconds(500));
+    fixture.now += seconds(1);
+    CHECK(fixture.decide(fixture.makeRequest())->kind == DecisionKind::Granted);
+    const auto decision = fixture.decide(fixture.makeRequest(milliseconds(700)));
+    CHECK(decision.has_value());
+    CHECK(decision->kind == DecisionKind::Refused);
+    CHECK_FALSE(decision->limited);
+    CHECK(decision->retryAfter >= milliseconds(400));
+}
+
 TEST(PoolLimits, CountAttemptsThatOthersGranted)
 {
     listTargets(1, { 1 });
