--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -188,6 +188,9 @@
     std::multimap<unsigned, QueuedRequest> queue;
     SlotReleaseRate releaseRate;
     LossCounts lossCounts;
+    // Slots freed because the end of their attempts was not reported within the longest time that attempts last. Stays 0
+    // unless messages about an attempt were lost in ways that asking its entry does not cover.
+    std::uint64_t slotsFreedByAge { 0 };
     // Arrival of the last idempotent request. While there are any, they test the suspected targets.
     TimePoint lastIdempotentAt;
     // Time since which the queue has not been empty; none while it is empty. While requests are queued, the release
--- a/packages/grants/src/TargetPool.cpp
+++ b/packages/grants/src/TargetPool.cpp
@@ -497,6 +497,7 @@
     for (const auto& [attemptId, instance] : unreported) {
         releaseSlot(pool, attemptId, instance);
         pool.instanceByAttempt.erase(attemptId);
+        ++pool.slotsFreedByAge;
     }
     std::vector<Decision> decisions = grantQueued(pool, now);
     if (pool.queue.empty())
--- a/packages/grants/tests/unit-pool.cpp
+++ b/packages/grants/tests/unit-pool.cpp
@@ -323,6 +323,7 @@
     const auto decision = fixture.decide(fixture.makeRequest());
     CHECK(decision.has_value());
     CHECK(decision->kind == DecisionKind::Granted);
+    CHECK_EQUAL(1, fixture.pool.slotsFreedByAge);
 }
 
 TEST(Pool, KeepsTargetsEligibleWhenAllAreSuspected)
--- a/packages/proxy/src/DispatcherHost.cpp
+++ b/packages/proxy/src/DispatcherHost.cpp
@@ -156,8 +156,12 @@
 void DispatcherHost::expirePools()
 {
     const TimePoint now = Clock::now();
-    for (auto& [name, pool] : this->poolsByGroup)
+    for (auto& [name, pool] : this->poolsByGroup) {
+        const std::uint64_t freedBefore = pool.slotsFreedByAge;
         this->deliver(grants::expireOverdue(pool, now));
+        if (pool.slotsFreedByAge != freedBefore)
+            this->log.write(telemetry::EventScope::Process, this->logComponent, "slots-freed-by-age", telemetry::EventFields().text("group", name).number("slots", static_cast<std::int64_t>(pool.slotsFreedByAge - freedBefore)));
+    }
     for (auto& [name, pool] : this->poolsByGroup) {
         for (const grants::AttemptId& attemptId : grants::attemptsToQuery(pool, now))
             this->callbacks.queryAttempt(attemptId);
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -3,6 +3,7 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
+#include <numeric>
 
 namespace flamingowick::proxy {
 
@@ -462,6 +463,8 @@
 {
     this->metrics.setGauge("flamingowick_configuration_version", {}, this->appliedConfiguration ? static_cast<double>(this->appliedConfiguration->configuration.version) : 0);
     this->metrics.setGauge("flamingowick_targets", {}, static_cast<double>(this->directory.entries.size()));
+    const auto& hosted = this->hostedPools->pools();
+    this->metrics.setGauge("flamingowick_slots_freed_by_age", {}, std::accumulate(hosted.begin(), hosted.end(), 0.0, [](double sum, const auto& item) { return sum + static_cast<double>(item.second.slotsFreedByAge); }));
     this->metrics.setGauge("flamingowick_limited_targets", {}, static_cast<double>(std::count_if(this->directory.entries.begin(), this->directory.entries.end(), [](const auto& item) { return item.second.limitNamedAt.has_value(); })));
     this->metrics.setGauge("flamingowick_members", {}, static_cast<double>(this->fleet.members.size()));
     this->metrics.setGauge("flamingowick_requests_running", {}, static_cast<double>(this->entry->activeRequestCount()));
