Raise limits near zero before daemons that decide alone share them

The floor of one request in 5 s applied to each daemon's share of a limit, so that 44 daemons deciding alone could send 8.8 requests a second to a target that had named less. It applies to the limit now, where that is recorded. Found by reading; the test on daemons that decide alone fails without the change, by 5 s instead of 40 s to a token.

--- a/packages/grants/include/flamingowick/grants/RequestLimit.h
+++ b/packages/grants/include/flamingowick/grants/RequestLimit.h
@@ -13,11 +13,11 @@
     TimePoint updatedAt;
 };
 
-// Returns a limit whose bucket is empty, because requests sent before it was known may have used it up. A rate that is lower
-// than one request in 5 s is raised to that, so that the end of the limit is noticed. Never throws.
+// Returns a limit whose bucket is empty, because requests sent before it was known may have used it up. The rate must be
+// positive. Never throws.
 RequestLimit makeRequestLimit(double perSecond, TimePoint now) noexcept;
 
-// Changes the rate. Tokens that the bucket holds stay, up to its new capacity. Never throws.
+// Changes the rate, which must be positive. Tokens that the bucket holds stay, up to its new capacity. Never throws.
 void setRate(RequestLimit&, double perSecond, TimePoint now) noexcept;
 
 // Returns whether a request may be granted now. Never throws.
--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -37,7 +37,7 @@
     bool leaving { false };
     // Time left until the target has warmed up after its start.
     Duration warmUpTime { 0 };
-    // Requests per second that the target takes from all daemons together; none if it names no limit.
+    // Requests per second, more than 0, that the pool may grant to the target; none if it names no limit.
     std::optional<double> requestsPerSecond {};
 };
 
--- a/packages/grants/src/RequestLimit.cpp
+++ b/packages/grants/src/RequestLimit.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-    constexpr double minRatePerSecond = 0.2;
     // Capacity of the bucket, as the time in which it fills. Requests that arrive close together use more of the limit.
     constexpr double capacitySeconds = 0.5;
 
@@ -20,14 +19,14 @@
 
 RequestLimit makeRequestLimit(double perSecond, TimePoint now) noexcept
 {
-    return { std::max(perSecond, minRatePerSecond), 0, now };
+    return { perSecond, 0, now };
 }
 
 void setRate(RequestLimit& limit, double perSecond, TimePoint now) noexcept
 {
     limit.tokens = tokensAt(limit, now);
     limit.updatedAt = now;
-    limit.perSecond = std::max(perSecond, minRatePerSecond);
+    limit.perSecond = perSecond;
     limit.tokens = tokensAt(limit, now);
 }
 
--- a/packages/grants/tests/unit-request-limit.cpp
+++ b/packages/grants/tests/unit-request-limit.cpp
@@ -29,7 +29,7 @@
 
 }
 
-TEST_GROUP(PoolLimits)
+TEST_GROUP(TargetLimits)
 {
     PoolFixture fixture;
     std::vector<ListedTarget> targets;
@@ -48,7 +48,7 @@
     void listTargets(unsigned count, std::initializer_list<double> limits) { listTargets(count, std::span(limits.begin(), limits.size())); }
 };
 
-TEST(PoolLimits, LeaveOtherTargetsToTakeTheRequests)
+TEST(TargetLimits, LeaveOtherTargetsToTakeTheRequests)
 {
     listTargets(3, { 0.5 });
     unsigned atLimited = 0;
@@ -66,7 +66,7 @@
     CHECK(failureProbability(fixture.pool, fixture.pool.targets.at("t0"), fixture.now) < fixture.pool.limits.maxFailureProbability);
 }
 
-TEST(PoolLimits, ThatAllTargetsHaveReachedAreTheReasonOfARefusalWithTheTimeToTheNextToken)
+TEST(TargetLimits, ThatAllTargetsHaveReachedAreTheReasonOfARefusalWithTheTimeToTheNextToken)
 {
     listTargets(2, { 0.5, 0.4 });
     fixture.recordLatencies(milliseconds(100));
@@ -77,7 +77,7 @@
     CHECK(decision->retryAfter > milliseconds(1900) && decision->retryAfter <= milliseconds(2001));
 }
 
-TEST(PoolLimits, GiveATokenToTheQueuedRequestOfHighestPriority)
+TEST(TargetLimits, GiveATokenToTheQueuedRequestOfHighestPriority)
 {
     listTargets(1, { 4 });
     fixture.recordLatencies(milliseconds(100));
@@ -94,7 +94,7 @@
     CHECK(decisions.front().limited);
 }
 
-TEST(PoolLimits, DoNotShortenTheWaitForASlotWhileThereAreTokens)
+TEST(TargetLimits, DoNotShortenTheWaitForASlotWhileThereAreTokens)
 {
     listTargets(1, std::array { 20.0 }, 1);
     fixture.recordLatencies(milliseconds(500));
@@ -107,7 +107,7 @@
     CHECK(decision->retryAfter >= milliseconds(400));
 }
 
-TEST(PoolLimits, CountAttemptsThatOthersGranted)
+TEST(TargetLimits, CountAttemptsThatOthersGranted)
 {
     listTargets(1, { 1 });
     fixture.now += seconds(1);
@@ -115,7 +115,7 @@
     CHECK(timeToToken(*fixture.pool.targets.at("t0").requestLimit, fixture.now) > milliseconds(900));
 }
 
-TEST(PoolLimits, MayRiseFallAndEnd)
+TEST(TargetLimits, MayRiseFallAndEnd)
 {
     listTargets(1, { 1 });
     fixture.now += milliseconds(500);
@@ -127,20 +127,10 @@
     CHECK(fixture.decide(fixture.makeRequest())->kind == DecisionKind::Granted);
 }
 
-TEST(PoolLimits, OfZeroLetOneRequestInFiveSecondsFindOutWhetherTheyHaveEnded)
-{
-    listTargets(1, { 0 });
-    fixture.recordLatencies(milliseconds(100));
-    fixture.now += seconds(3);
-    CHECK(fixture.decide(fixture.makeRequest())->kind == DecisionKind::Refused);
-    fixture.now += milliseconds(2100);
-    CHECK(fixture.decide(fixture.makeRequest())->kind == DecisionKind::Granted);
-}
-
 // Plays services whose targets name limits from 0.5 to 20 a second, on one, a third or all of them, under bursts, while
 // dispatchers end and others, whose buckets have filled meanwhile, take over. FLAMINGOWICK_SEED and FLAMINGOWICK_RUNS play
 // other seeds, and more of them.
-TEST(PoolLimits, HoldInAnyFourSecondsThoughDispatchersTakeOver)
+TEST(TargetLimits, HoldInAnyFourSecondsThoughDispatchersTakeOver)
 {
     const std::uint64_t first = numberFromEnvironment("FLAMINGOWICK_SEED", 1);
     const std::uint64_t runs = numberFromEnvironment("FLAMINGOWICK_RUNS", 50);
--- a/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
@@ -35,6 +35,8 @@
     // How long a target that had gone, and that the store lists again after it has returned from an older copy, is left
     // out: the store removes entries after three heartbeats of silence, of 1.5 s each.
     Duration reappearanceDelay { std::chrono::seconds(6) };
+    // A lower limit, such as one of 0, is kept as this one request in 5 s, so that its end is noticed.
+    double minRequestsPerSecond { 0.2 };
     // How long a target's limit is kept that no response has repeated: it stands in all responses of such a target, so
     // that without any nobody knows whether it still holds.
     Duration limitMemory { std::chrono::seconds(30) };
--- a/packages/proxy/src/TargetDirectory.cpp
+++ b/packages/proxy/src/TargetDirectory.cpp
@@ -214,6 +214,8 @@
     DirectoryEntry& known = found->second;
     if (!perSecond && (!known.limitNamedAt || now - *known.limitNamedAt < directory.limits.limitReorderSpan))
         return change;
+    if (perSecond)
+        perSecond = std::max(*perSecond, directory.limits.minRequestsPerSecond);
     known.limitNamedAt = perSecond ? std::optional<TimePoint>(now) : std::nullopt;
     if (known.entry.target.requestsPerSecond == perSecond)
         return change;
--- a/packages/proxy/tests/unit-request-limit.cpp
+++ b/packages/proxy/tests/unit-request-limit.cpp
@@ -175,6 +175,26 @@
     CHECK(readLimit(response, "X-Limit").kind == LimitStatementKind::None);
 }
 
+// Guards against daemons that decide alone using the whole limit each.
+TEST(RequestLimit, IsSharedByDaemonsThatDecideAlone)
+{
+    constexpr double perSecond = 0.5;
+    constexpr unsigned daemons = 20;
+    const TimePoint now = Clock::now();
+    std::vector<grants::ListedTarget> listed(1);
+    listed.front().instance = "i-1";
+    listed.front().slots = 4;
+    listed.front().requestsPerSecond = perSecond;
+    DispatcherHost host(testBed.io, "alone", ProxySettings {}, 0.4, testBed.log, { [](const grants::Decision&) {}, [&listed](std::string_view) { return listed; }, [](const grants::AttemptId&) {} });
+    host.setRequestLimitShare(1.0 / daemons);
+    GrantRequestMessage message;
+    message.group = "stock/0/1";
+    host.requestGrant(message);
+    const std::optional<grants::RequestLimit>& limit = host.pools().at("stock/0/1").targets.at("i-1").requestLimit;
+    CHECK(limit.has_value());
+    CHECK(timeToToken(*limit, now) > seconds(39));
+}
+
 TEST_GROUP(TargetDirectoryLimits)
 {
     TimePoint now { Clock::now() };
@@ -220,6 +240,12 @@
     CHECK_FALSE(limit().has_value());
 }
 
+TEST(TargetDirectoryLimits, OfZeroLetOneRequestInFiveSecondsFindOutWhetherTheyHaveEnded)
+{
+    setRequestLimit(directory, "i-1", 2, 0, now);
+    CHECK(limit() == std::optional<double>(0.2));
+}
+
 TEST(TargetDirectoryLimits, AreForgottenWhenNoResponseRepeatsThem)
 {
     setRequestLimit(directory, "i-1", 2, 5, now);
