Keep the settings of a test alive as long as its dispatcher

The test on daemons that decide alone ended with a segmentation fault: its dispatcher referred to settings that had gone.

--- a/packages/proxy/tests/unit-request-limit.cpp
+++ b/packages/proxy/tests/unit-request-limit.cpp
@@ -185,7 +185,8 @@
     listed.front().instance = "i-1";
     listed.front().slots = 4;
     listed.front().requestsPerSecond = perSecond;
-    DispatcherHost host(testBed.io, "alone", ProxySettings {}, 0.4, testBed.log, { [](const grants::Decision&) {}, [&listed](std::string_view) { return listed; }, [](const grants::AttemptId&) {} });
+    const ProxySettings settings;
+    DispatcherHost host(testBed.io, "alone", settings, 0.4, testBed.log, { [](const grants::Decision&) {}, [&listed](std::string_view) { return listed; }, [](const grants::AttemptId&) {} });
     host.setRequestLimitShare(1.0 / daemons);
     GrantRequestMessage message;
     message.group = "stock/0/1";
