Remember what a target has said of itself when its entry lapses and returns

The record of targets that have gone now keeps what was known, for an incarnation that is listed again within a minute. Hold-offs and limits were lost in the same way. The three tests failed before.

--- a/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
@@ -59,9 +59,10 @@
     std::optional<TimePoint> limitNamedAt {};
 };
 
-// A target that was dropped.
+// A target that was dropped, as it was known last. If the same incarnation is listed again, what it has said of itself
+// still holds: its entry may only have lapsed.
 struct GoneTarget {
-    std::int64_t startedAt { 0 };
+    DirectoryEntry known;
     TimePoint goneAt;
 };
 
--- a/packages/proxy/src/TargetDirectory.cpp
+++ b/packages/proxy/src/TargetDirectory.cpp
@@ -32,17 +32,35 @@
 
     void recordGone(TargetDirectory& directory, std::string_view instance, const DirectoryEntry& known, TimePoint now)
     {
-        directory.gone.insert_or_assign(std::string(instance), GoneTarget { known.entry.startedAt, now });
+        directory.gone.insert_or_assign(std::string(instance), GoneTarget { known, now });
     }
 
     // Returns whether the entry comes from an older copy of the store and its target has gone since.
     bool hasReappeared(const TargetDirectory& directory, const TargetEntry& entry, TimePoint now)
     {
         const auto gone = directory.gone.find(entry.target.instance);
-        return directory.leftOutUntil && now < *directory.leftOutUntil && gone != directory.gone.end() && gone->second.startedAt == entry.startedAt;
+        return directory.leftOutUntil && now < *directory.leftOutUntil && gone != directory.gone.end() && gone->second.known.entry.startedAt == entry.startedAt;
+    }
+
+    // Returns what is known of a target that may have gone; nullptr if nothing is. Without a start time, one that returns can't
+    // be told from one that has restarted.
+    const DirectoryEntry* knownTarget(const TargetDirectory& directory, std::string_view instance)
+    {
+        if (const auto found = directory.entries.find(instance); found != directory.entries.end())
+            return &found->second;
+        const auto gone = directory.gone.find(instance);
+        return gone == directory.gone.end() || gone->second.known.entry.startedAt == 0 ? nullptr : &gone->second.known;
+    }
+
+    // Takes over what the target has said of itself. Another start or address means that it has restarted.
+    void keepStatements(DirectoryEntry& next, const DirectoryEntry& known)
+    {
+        next.entry.target.leaving = next.entry.target.leaving || known.entry.target.leaving;
+        next.heldOffUntil = known.heldOffUntil;
+        next.limitNamedAt = known.limitNamedAt;
+        next.entry.target.requestsPerSecond = known.entry.target.requestsPerSecond;
     }
 
-    // A target that is leaving stays so while its entry shows the same start; another start means that it has restarted.
     void putEntry(TargetDirectory& directory, const TargetEntry& entry, TimePoint now, DirectoryChange& change)
     {
         if (hasReappeared(directory, entry, now)) {
@@ -52,19 +70,14 @@
         directory.reappeared.erase(entry.target.instance);
         const auto found = directory.entries.find(entry.target.instance);
         DirectoryEntry next { entry, std::nullopt, std::nullopt };
+        const DirectoryEntry* known = knownTarget(directory, entry.target.instance);
+        const bool sameIncarnation = known && known->entry.startedAt == entry.startedAt && known->entry.target.address == entry.target.address;
+        if (sameIncarnation)
+            keepStatements(next, *known);
         if (found != directory.entries.end()) {
-            const TargetEntry& known = found->second.entry;
-            const bool sameIncarnation = known.startedAt == entry.startedAt && known.target.address == entry.target.address;
-            if (sameIncarnation && known.target.leaving)
-                next.entry.target.leaving = true;
-            if (sameIncarnation) {
-                next.heldOffUntil = found->second.heldOffUntil;
-                next.limitNamedAt = found->second.limitNamedAt;
-                next.entry.target.requestsPerSecond = known.target.requestsPerSecond;
-            }
             if (!sameIncarnation)
                 change.dropped.push_back(entry.target.instance);
-            change.changedServices.insert(known.service);
+            change.changedServices.insert(found->second.entry.service);
         }
         if (next.entry.target.leaving && (found == directory.entries.end() || !found->second.entry.target.leaving))
             change.leaving.push_back(entry.target.instance);
--- a/packages/proxy/tests/unit-hold-off.cpp
+++ b/packages/proxy/tests/unit-hold-off.cpp
@@ -131,6 +131,24 @@
         CHECK_FALSE(parseRetryAfter(unreadable).has_value());
 }
 
+TEST(HoldOff, StaysThoughTheEntryGoesAndReturns)
+{
+    const TimePoint now = Clock::now();
+    TargetDirectory directory;
+    TargetEntry entry;
+    entry.service = "stock";
+    entry.target.instance = "i-1";
+    entry.startedAt = 2;
+    const std::vector<TargetEntry> written { entry };
+    applyEntryChanges(directory, written, {}, now);
+    holdOff(directory, "i-1", 2, now + seconds(9));
+    applyEntryChanges(directory, {}, std::vector<std::string> { "i-1" }, now + seconds(3), seconds(60));
+    CHECK(directory.entries.empty());
+    applyEntryChanges(directory, written, {}, now + seconds(4));
+    CHECK_FALSE(acceptsRequests(directory, "i-1", now + seconds(8)));
+    CHECK(acceptsRequests(directory, "i-1", now + seconds(9)));
+}
+
 TEST(HoldOff, OfAnEarlierIncarnationIsIgnored)
 {
     const TimePoint now = Clock::now();
--- a/packages/proxy/tests/unit-leaving.cpp
+++ b/packages/proxy/tests/unit-leaving.cpp
@@ -79,6 +79,28 @@
     sendUntilItArrivesAt(leaving, 2);
 }
 
+// Guards against requests to a leaving target whose entry lapses while the store is unavailable and is then written again.
+TEST(Leaving, StaysThoughTheEntryGoesAndReturns)
+{
+    const TimePoint now = Clock::now();
+    TargetDirectory directory;
+    TargetEntry entry;
+    entry.service = "stock";
+    entry.target.instance = "i-1";
+    entry.startedAt = 2;
+    const std::vector<TargetEntry> written { entry };
+    const std::vector<std::string> removed { "i-1" };
+    applyEntryChanges(directory, written, {}, now);
+    markLeaving(directory, "i-1", 2);
+    applyEntryChanges(directory, {}, removed, now + seconds(3));
+    CHECK(directory.entries.empty());
+    applyEntryChanges(directory, written, {}, now + seconds(4));
+    CHECK_FALSE(acceptsRequests(directory, "i-1", now + seconds(4)));
+    entry.startedAt = 3;
+    applyEntryChanges(directory, std::vector<TargetEntry> { entry }, {}, now + seconds(5));
+    CHECK(acceptsRequests(directory, "i-1", now + seconds(5)));
+}
+
 TEST(Leaving, HoldsThoughTheDispatcherDoesNotKnow)
 {
     const ScriptedTarget& leaving = addTarget("200 OK", "X-Leaving: 1\r\n");
--- a/packages/proxy/tests/unit-request-limit.cpp
+++ b/packages/proxy/tests/unit-request-limit.cpp
@@ -231,6 +231,15 @@
     CHECK_FALSE(limit().has_value());
 }
 
+TEST(TargetDirectoryLimits, StayThoughTheEntryGoesAndReturns)
+{
+    setRequestLimit(directory, "i-1", 2, 5, now);
+    applyEntryChanges(directory, {}, std::vector<std::string> { "i-1" }, now + seconds(3), seconds(60));
+    CHECK(directory.entries.empty());
+    applyEntryChanges(directory, std::vector<TargetEntry> { entry }, {}, now + seconds(4));
+    CHECK(limit() == std::optional<double>(5));
+}
+
 // Guards against a response from before the limit, reported late, ending it.
 TEST(TargetDirectoryLimits, OutlastALateReportOfAResponseWithoutOne)
 {
