--- a/packages/proxy/tests/ProxyTestBed.h
+++ b/packages/proxy/tests/ProxyTestBed.h
@@ -22,6 +22,16 @@
     return { "X-Id", "X-Left-Ms", "X-Signature", "X-Expected", "X-Not-Run", "X-Leaving", "X-Limit" };
 }
 
+// Returns the entry of a target that started at the given time.
+inline TargetEntry entryOf(std::string instance, std::int64_t startedAt)
+{
+    TargetEntry entry;
+    entry.service = "stock";
+    entry.target.instance = std::move(instance);
+    entry.startedAt = startedAt;
+    return entry;
+}
+
 // A target that answers each request with the bytes that the script returns, or never when it returns none.
 class ScriptedTarget {
 public:
--- a/packages/proxy/tests/unit-hold-off.cpp
+++ b/packages/proxy/tests/unit-hold-off.cpp
@@ -135,10 +135,7 @@
 {
     const TimePoint now = Clock::now();
     TargetDirectory directory;
-    TargetEntry entry;
-    entry.service = "stock";
-    entry.target.instance = "i-1";
-    entry.startedAt = 2;
+    const TargetEntry entry = entryOf("i-1", 2);
     const std::vector<TargetEntry> written { entry };
     applyEntryChanges(directory, written, {}, now);
     holdOff(directory, "i-1", 2, now + seconds(9));
@@ -153,10 +150,7 @@
 {
     const TimePoint now = Clock::now();
     TargetDirectory directory;
-    TargetEntry entry;
-    entry.service = "stock";
-    entry.target.instance = "i-1";
-    entry.startedAt = 2;
+    const TargetEntry entry = entryOf("i-1", 2);
     applyEntryChanges(directory, std::vector<TargetEntry> { entry }, {}, now);
     holdOff(directory, "i-1", 1, now + seconds(5));
     holdOff(directory, "unknown", 2, now + seconds(5));
--- a/packages/proxy/tests/unit-leaving.cpp
+++ b/packages/proxy/tests/unit-leaving.cpp
@@ -84,10 +84,7 @@
 {
     const TimePoint now = Clock::now();
     TargetDirectory directory;
-    TargetEntry entry;
-    entry.service = "stock";
-    entry.target.instance = "i-1";
-    entry.startedAt = 2;
+    TargetEntry entry = entryOf("i-1", 2);
     const std::vector<TargetEntry> written { entry };
     const std::vector<std::string> removed { "i-1" };
     applyEntryChanges(directory, written, {}, now);
--- a/packages/proxy/tests/unit-request-limit.cpp
+++ b/packages/proxy/tests/unit-request-limit.cpp
@@ -200,13 +200,10 @@
 {
     TimePoint now { Clock::now() };
     TargetDirectory directory;
-    TargetEntry entry;
+    TargetEntry entry { entryOf("i-1", 2) };
 
     void setup() override
     {
-        entry.service = "stock";
-        entry.target.instance = "i-1";
-        entry.startedAt = 2;
         applyEntryChanges(directory, std::vector<TargetEntry> { entry }, {}, now);
     }
 
