Tell configurations of the same version apart, and log where each came from

A store that has lost its newest writes can give a version out again with another content. The daemon ignored it, as its version was not higher. Now the content that the store gave out later applies; an older version still never does. The log names the source, the revision and the contact's age of each configuration that arrives (configuration-received), and the digest of the one that applies (in-force).

Test that failed before: Entry.AppliesALaterContentOfTheSameVersionAndNoOlderVersion.

--- a/packages/proxy/include/flamingowick/proxy/Configuration.h
+++ b/packages/proxy/include/flamingowick/proxy/Configuration.h
@@ -51,6 +51,8 @@
 struct Configuration {
     // Increases with every change.
     std::uint64_t version { 0 };
+    // Digest of the content as received. Tells contents of the same version apart.
+    std::uint64_t digest { 0 };
     CallerLimits limits;
     std::vector<Route> routes;
     std::vector<std::string> services;
--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -19,7 +19,8 @@
     Proxy(const Proxy&) = delete;
     Proxy& operator=(const Proxy&) = delete;
 
-    // Applies a configuration, unless the present one has the same or a higher version.
+    // Applies a configuration, unless the present one has a higher version or is the same. To be called in the order of the
+    // store's revisions: of two contents with the same version, the later one applies.
     void setConfiguration(Configuration);
 
     // Applies written target entries and removes instances whose entries were removed. The daemon isn't ready before the
--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -93,6 +93,12 @@
         TimePoint dueAt;
     };
     struct FollowedRelay;
+    struct ChangeSource {
+        // The kind of the store's response, or the name of the relay.
+        std::string_view name;
+        // How long the source has been connected to the store without interruption; zero when that isn't known.
+        Duration storeConnectedFor;
+    };
 
     void handleRequest(const std::shared_ptr<CallerConnection>&);
     bool hasChangesFor(const HeldRequest&) const;
@@ -101,7 +107,7 @@
     void scheduleHeldRequests();
     void pollRelay(const std::shared_ptr<FollowedRelay>&);
     void handleRelayResponse(const std::shared_ptr<FollowedRelay>&, const HttpResponse&);
-    void publishChanges(StateKind, const std::vector<StateChange>&, Duration storeConnectedFor);
+    void publishChanges(StateKind, const std::vector<StateChange>&, const ChangeSource&);
     Duration storeContactAge() const;
     void scheduleRoleReview();
 
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -109,15 +109,20 @@
 
 void Proxy::setConfiguration(Configuration configuration)
 {
-    if (this->appliedConfiguration && configuration.version <= this->appliedConfiguration->configuration.version)
-        return;
     const bool first = !this->appliedConfiguration;
+    bool replacesSameVersion = false;
+    if (!first) {
+        const Configuration& applied = this->appliedConfiguration->configuration;
+        replacesSameVersion = configuration.version == applied.version && configuration.digest != applied.digest;
+        if (configuration.version <= applied.version && !replacesSameVersion)
+            return;
+    }
     auto next = std::make_shared<AppliedConfiguration>();
     next->routes = RouteIndex(configuration);
     next->configuration = std::move(configuration);
     next->appliedAt = Clock::now();
     this->log.write(EventScope::Process, "configuration", "in-force",
-        EventFields().number("version", static_cast<std::int64_t>(next->configuration.version)).number("routes", static_cast<std::int64_t>(next->configuration.routes.size())).number("services", static_cast<std::int64_t>(next->configuration.services.size())).flag("first", first));
+        EventFields().number("version", static_cast<std::int64_t>(next->configuration.version)).number("routes", static_cast<std::int64_t>(next->configuration.routes.size())).number("services", static_cast<std::int64_t>(next->configuration.services.size())).flag("first", first).text("digest", fingerprintText(next->configuration.digest)).flag("replacesSameVersion", replacesSameVersion));
     this->appliedConfiguration = std::move(next);
     this->scheduleLogFlush();
 }
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -111,19 +111,23 @@
 
 void StateFeed::applySnapshot(StateKind kind, std::uint64_t revision, std::span<const StateObject> objects)
 {
-    this->publishChanges(kind, proxy::applySnapshot(this->caches.at(static_cast<std::size_t>(kind)), revision, objects), Duration::zero());
+    this->publishChanges(kind, proxy::applySnapshot(this->caches.at(static_cast<std::size_t>(kind)), revision, objects), { "store list", Duration::zero() });
 }
 
 void StateFeed::applyChanges(StateKind kind, std::uint64_t revision, std::span<const StateChange> changes)
 {
-    this->publishChanges(kind, proxy::applyChanges(this->caches.at(static_cast<std::size_t>(kind)), revision, changes), Duration::zero());
+    this->publishChanges(kind, proxy::applyChanges(this->caches.at(static_cast<std::size_t>(kind)), revision, changes), { "store watch", Duration::zero() });
 }
 
-void StateFeed::publishChanges(StateKind kind, const std::vector<StateChange>& changes, Duration storeConnectedFor)
+void StateFeed::publishChanges(StateKind kind, const std::vector<StateChange>& changes, const ChangeSource& source)
 {
     if (changes.empty())
         return;
-    this->callbacks.onChanges(kind, changes, storeConnectedFor);
+    if (kind == StateKind::Configuration) {
+        this->log.write(EventScope::Process, "feed", "configuration-received",
+            EventFields().text("source", source.name).number("revision", static_cast<std::int64_t>(changes.back().object.revision)).milliseconds("contactAgeMs", this->storeContactAge()));
+    }
+    this->callbacks.onChanges(kind, changes, source.storeConnectedFor);
     this->respondToHeldRequests(false);
 }
 
@@ -303,7 +307,7 @@
             KindCache& cache = this->caches.at(state.kind());
             const bool isContactRecent = milliseconds(content.contact_age()) < this->limits.maxContactAge;
             const Duration storeConnectedFor = isContactRecent ? Duration(milliseconds(content.in_touch_for())) : Duration::zero();
-            this->publishChanges(kind, state.whole() ? proxy::applySnapshot(cache, state.revision(), objects) : proxy::applyChanges(cache, state.revision(), changes), storeConnectedFor);
+            this->publishChanges(kind, state.whole() ? proxy::applySnapshot(cache, state.revision(), objects) : proxy::applyChanges(cache, state.revision(), changes), { relay->name, storeConnectedFor });
             delay = this->limits.changeBatchDelay;
         }
     } else {
--- a/packages/proxy/tests/unit-entry.cpp
+++ b/packages/proxy/tests/unit-entry.cpp
@@ -73,6 +73,24 @@
     CHECK_EQUAL(404, exchange(*caller, "GET /other/ HTTP/1.1\r\nHost: x\r\nX-Id: b\r\n\r\n").status);
 }
 
+// Guards against a configuration that stays without effect because a store that lost its newest writes gave the version out
+// again, and against an older one that replaces a newer one.
+TEST(Entry, AppliesALaterContentOfTheSameVersionAndNoOlderVersion)
+{
+    testBed.addTarget([](const HttpMessage& received) { return ScriptedTarget::healthyResponse(received); });
+    testBed.start(1, true);
+    auto caller = testBed.connectCaller();
+    CHECK_EQUAL(200, exchange(*caller, makeRequest("a")).status);
+    Configuration withoutRoutes;
+    withoutRoutes.version = testBed.configuration.version;
+    withoutRoutes.digest = testBed.configuration.digest + 1;
+    testBed.proxies.front()->setConfiguration(withoutRoutes);
+    CHECK_EQUAL(404, exchange(*caller, makeRequest("b")).status);
+    testBed.configuration.version = withoutRoutes.version - 1;
+    testBed.proxies.front()->setConfiguration(testBed.configuration);
+    CHECK_EQUAL(404, exchange(*caller, makeRequest("c")).status);
+}
+
 TEST(Entry, DoesNotRetryANonIdempotentRequestThatMayHaveExecuted)
 {
     ScriptedTarget& first = testBed.addTarget(neverRespond);
--- a/packages/proxy/tests/unit-log-lines.cpp
+++ b/packages/proxy/tests/unit-log-lines.cpp
@@ -130,7 +130,7 @@
     testBed.addTarget([](const HttpMessage& received) { return ScriptedTarget::healthyResponse(received); });
     testBed.start(2, false);
     serve(makeRequest("r1", "POST", "x"));
-    lineOf("configuration", "in-force", { "version", "routes", "services", "first" });
+    lineOf("configuration", "in-force", { "version", "routes", "services", "first", "digest", "replacesSameVersion" });
     lineOf("fleet", "members", { "count", "before" });
     testBed.entries.front().target.leaving = true;
     testBed.proxies.front()->applyTargetChanges(testBed.entries, {});
