Read nothing of a target from the response of another one at its address

A 421 comes from another instance than the one asked. Its word that it leaves, or wants nothing for a while, was ascribed to the one asked. Test that failed before: Leaving.IsNotReadFromAnotherInstanceAtTheAddress.

--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -284,9 +284,12 @@
         result.outcome = classifyResponse(result.response, this->owner.headerNames, this->spec.requestId);
         if (result.outcome == grants::AttemptOutcome::ConnectionBroken)
             result.reason = "unproven";
-        this->readTargetState(result.response, result);
-        // A response of another instance, or one that isn't signed, says nothing of this target's limit.
-        if (result.outcome != grants::AttemptOutcome::ConnectionBroken && result.outcome != grants::AttemptOutcome::InstanceReplaced)
+        // Another instance at the address speaks of itself.
+        const bool isOfThisTarget = result.outcome != grants::AttemptOutcome::InstanceReplaced;
+        if (isOfThisTarget)
+            this->readTargetState(result.response, result);
+        // A response that isn't signed says nothing of the limit.
+        if (isOfThisTarget && result.outcome != grants::AttemptOutcome::ConnectionBroken)
             result.limit = readLimit(result.response, this->owner.headerNames.requestLimit);
         const bool reuse = !this->mustClose && !this->writing && result.response.keepAlive && result.outcome != grants::AttemptOutcome::ConnectionBroken && result.outcome != grants::AttemptOutcome::InstanceReplaced;
         this->idleTimeout = announcedIdleTimeout(result.response);
--- a/packages/proxy/tests/unit-leaving.cpp
+++ b/packages/proxy/tests/unit-leaving.cpp
@@ -66,6 +66,22 @@
     }
 }
 
+// Guards against taking a target for leaving because another one, which is at its address for a while, says that it leaves.
+TEST(Leaving, IsNotReadFromAnotherInstanceAtTheAddress)
+{
+    bool isReplaced = true;
+    const ScriptedTarget& target = testBed.addTarget([&isReplaced](const HttpMessage& received) {
+        const std::string status = isReplaced ? "421 Misdirected Request\r\nX-Leaving: 1" : "200 OK\r\nX-Signature: s";
+        return "HTTP/1.1 " + status + "\r\nX-Id: " + std::string(headerValue(received, "X-Id")) + "\r\nContent-Length: 0\r\n\r\n";
+    });
+    addTarget("200 OK", "");
+    testBed.start(1, false);
+    sendUntilItArrivesAt(target, 1);
+    isReplaced = false;
+    testBed.proxies.front()->applyTargetChanges(testBed.entries, {});
+    sendUntilItArrivesAt(target, 2);
+}
+
 TEST(Leaving, StaysUntilTheTargetHasRestarted)
 {
     const ScriptedTarget& leaving = addTarget("200 OK", "X-Leaving: 1\r\n");
