--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -54,6 +54,9 @@
     // The pools for which this daemon dispatches.
     const DispatcherHost& dispatcherHost() const noexcept { return *this->hostedPools; }
 
+    // Counters of the process, for parts outside the proxy.
+    telemetry::Metrics& counters() noexcept { return this->metrics; }
+
     // Called when a refusal of such a request begins or is released.
     std::function<void()> onRefusalsChange;
 
