--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -77,8 +77,14 @@
 
     const KindCache& cacheFor(StateKind kind) const { return this->caches.at(static_cast<std::size_t>(kind)); }
 
+    // Ends a direct watch of the store, whatever time is left of it, if the relays' connection to the store is current.
+    void reviewDirectWatch();
+
     bool isWatchingStore() const noexcept { return this->watchesStore; }
 
+    // Returns whether other daemons may follow this one.
+    bool isRelayDaemon() const noexcept { return this->isRelay; }
+
     // Returns whether this daemon is no relay and receives the store's state through one, that is, whether a relay has
     // answered within the time in which a request has to be answered.
     bool isServedByRelays() const;
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -257,6 +257,13 @@
     this->scheduleRoleReview();
 }
 
+void StateFeed::reviewDirectWatch()
+{
+    if (this->storeContactAge() <= this->limits.maxContactAge)
+        this->watchStoreUntil = std::min(this->watchStoreUntil, Clock::now());
+    this->reviewRoles();
+}
+
 void StateFeed::scheduleRoleReview()
 {
     // A relay's role depends on the members only, and a change of these causes a review.
