--- a/packages/proxy/include/flamingowick/proxy/ProxySettings.h
+++ b/packages/proxy/include/flamingowick/proxy/ProxySettings.h
@@ -2,6 +2,7 @@
 
 #include "flamingowick/model/Clock.h"
 
+#include <cstdint>
 #include <string>
 
 // Settings with which a proxy daemon starts.
@@ -25,6 +26,15 @@
     std::string requestLimit;
 };
 
+// What a daemon knows at its start of the rest of the fleet.
+enum class FleetStage : std::uint8_t {
+    Unknown,
+    // All daemons start for the first time, within a fraction of a second.
+    Starting,
+    // The others have been running, or were stopped with this one.
+    Running,
+};
+
 struct ProxySettings {
     std::string vm;
     std::string failureDomain;
@@ -38,6 +48,8 @@
     // Address of the platform's object store.
     std::string storeAddress;
     HeaderNames headers;
+    // Decides which calls the daemon makes to the store at its start.
+    FleetStage fleetStage { FleetStage::Unknown };
     // Time after which the platform kills a process that it told to stop.
     Duration stopGrace { std::chrono::seconds(6) };
     // Retry budget of a service: retries allowed per request, and those allowed beyond that ratio in any budget window.
--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -35,6 +35,9 @@
     std::size_t daemonsPerRelay { 24 };
     // Delay between a response with changes and the next request, so that changes in quick succession are sent together.
     Duration changeBatchDelay { std::chrono::milliseconds(20) };
+    // Delay before the first request to a second relay while this daemon has no targets yet, so that not both relays send
+    // all of them.
+    Duration firstStateDelay { std::chrono::milliseconds(500) };
     // Delay before the next request after a failed one.
     Duration retryDelay { std::chrono::milliseconds(200) };
 };
@@ -112,6 +115,7 @@
     void respondToHeldRequests(bool dueOnly);
     void scheduleHeldRequests();
     void pollRelay(const std::shared_ptr<FollowedRelay>&);
+    void pollRelayAfter(const std::shared_ptr<FollowedRelay>&, Duration delay);
     void handleRelayResponse(const std::shared_ptr<FollowedRelay>&, const HttpResponse&);
     void publishChanges(StateKind, const std::vector<StateChange>&, const ChangeSource&);
     Duration storeContactAge() const;
--- a/packages/proxy/src/ProxySettingsText.cpp
+++ b/packages/proxy/src/ProxySettingsText.cpp
@@ -5,6 +5,7 @@
 #include "flamingowick/settings/detail/JsonParser.h"
 #include "flamingowick/settings/detail/TextRules.h"
 
+#include <array>
 #include <optional>
 
 namespace flamingowick::proxy {
@@ -17,6 +18,8 @@
     using std::chrono::milliseconds;
     using std::chrono::minutes;
 
+    constexpr std::array fleetStages { Choice<FleetStage> { "unknown", FleetStage::Unknown }, Choice<FleetStage> { "starting", FleetStage::Starting }, Choice<FleetStage> { "running", FleetStage::Running } };
+
     // Parses a duration such as "6s" or "1500ms".
     std::optional<Duration> parseDurationSetting(std::string_view text)
     {
@@ -64,6 +67,7 @@
         readText(reader, "metricsAddress", Presence::Optional, checkAddress, settings.metricsAddress);
         readText(reader, "peerAddress", Presence::Required, checkAddress, settings.peerAddress);
         readText(reader, "storeAddress", Presence::Required, checkAddress, settings.storeAddress);
+        readChoice<FleetStage>(reader, "fleetStage", fleetStages, settings.fleetStage);
         readDuration(reader, "stopGrace", settings.stopGrace);
         readMilliseconds(reader, "lapseGraceMs", { milliseconds(0), minutes(1) }, settings.lapseGrace);
         readNumber(reader, "retryRatio", { 0, 10 }, settings.retryRatio);
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -246,7 +246,10 @@
             continue;
         auto relay = std::make_shared<FollowedRelay>(this->io, name, this->fleet.members.at(name).address);
         this->followedRelays.push_back(relay);
-        this->pollRelay(relay);
+        if (this->followedRelays.size() == 1 || this->caches.at(static_cast<std::size_t>(StateKind::Targets)).hasSnapshot)
+            this->pollRelay(relay);
+        else
+            this->pollRelayAfter(relay, this->limits.firstStateDelay);
     }
     if (watch != this->watchesStore) {
         this->watchesStore = watch;
@@ -328,6 +331,11 @@
         this->pollRelay(relay);
         return;
     }
+    this->pollRelayAfter(relay, delay);
+}
+
+void StateFeed::pollRelayAfter(const std::shared_ptr<FollowedRelay>& relay, Duration delay)
+{
     relay->pollTimer.expires_after(delay);
     relay->pollTimer.async_wait([this, relay](const asio::error_code& error) {
         if (!error && !relay->dropped)
