Use one relay for 32 daemons of a failure domain

At 293 daemons each failure domain of 59 had three relays, of which each follower uses two; the third only cost calls to the store, each of its watches one for every change of targets. Now there are two up to 64 daemons.

--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -32,7 +32,7 @@
     // Relays that each follower polls, and the number of daemons of a failure domain for which there is one relay; a
     // domain has at least as many relays as a follower polls.
     std::size_t relaysFollowed { 2 };
-    std::size_t daemonsPerRelay { 24 };
+    std::size_t daemonsPerRelay { 32 };
     // Delay between a response with changes and the next request, so that changes in quick succession are sent together.
     Duration changeBatchDelay { std::chrono::milliseconds(20) };
     // Delay before the first request to a second relay while this daemon has no targets yet, so that not both relays send
