Count in simulated loads why attempts hang, and compare with known targets

Each attempt that hangs is the first at its target in that period, behind another one, or after one that has ended; and a placement that knows which targets hang gives the bound.

--- a/packages/grants/tests/LoadSimulation.cpp
+++ b/packages/grants/tests/LoadSimulation.cpp
@@ -1,6 +1,7 @@
 #include "LoadSimulation.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace flamingowick::grants {
 
@@ -13,6 +14,9 @@
         unsigned running { 0 };
         std::deque<std::pair<std::uint64_t, double>> queue;
         bool slow { false };
+        // The period in which attempts last hung here, and whether one of them has ended.
+        std::int64_t hungPeriod { -1 };
+        bool hungEnded { false };
     };
 
     struct SimulatedRequest {
@@ -57,14 +61,46 @@
         void schedule(double time, std::function<void()> action) { this->events.push({ time, ++this->lastSequence, std::move(action) }); }
         double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
 
-        bool isHanging(std::size_t target) const
+        std::int64_t periodOf(std::size_t target) const
         {
-            const auto period = static_cast<std::uint64_t>(this->now / this->load.hangPeriodSeconds);
-            std::mt19937_64 draw(target * 7919 + period * 104729 + 17);
+            const double phase = this->load.staggeredPeriods ? static_cast<double>(target * 31 % 97) / 97 : 0;
+            return static_cast<std::int64_t>(this->now / this->load.hangPeriodSeconds + phase);
+        }
+
+        bool hangsIn(std::size_t target, std::int64_t period) const
+        {
+            std::mt19937_64 draw(target * 7919 + static_cast<std::uint64_t>(period) * 104729 + 17);
             draw.discard(3);
             return std::uniform_real_distribution<double>(0, 1)(draw) < this->load.hangShare;
         }
 
+        bool isHanging(std::size_t target) const { return this->hangsIn(target, this->periodOf(target)); }
+
+        void recordHungStart(SimulatedTarget& target, std::size_t index)
+        {
+            if (const std::int64_t period = this->periodOf(index); target.hungPeriod != period) {
+                target.hungPeriod = period;
+                target.hungEnded = false;
+                ++this->outcome.hung.first;
+            } else if (target.hungEnded) {
+                ++this->outcome.hung.afterAnother;
+            } else {
+                ++this->outcome.hung.behindAnother;
+            }
+        }
+
+        void countHangs()
+        {
+            for (std::size_t target = 0; target < this->targets.size(); ++target) {
+                bool before = false;
+                for (std::int64_t period = 0; static_cast<double>(period) * this->load.hangPeriodSeconds < this->load.lengthSeconds; ++period) {
+                    const bool hangs = this->hangsIn(target, period);
+                    this->outcome.hangs += hangs && !before ? 1 : 0;
+                    before = hangs;
+                }
+            }
+        }
+
         // Runs an attempt and calls onEnd with its outcome when it ends.
         void startAttempt(std::size_t index, double deadline, const std::function<void(AttemptOutcome)>& onEnd)
         {
@@ -74,14 +110,17 @@
                 return;
             }
             const bool hangs = this->isHanging(index) && this->uniform() < this->load.hangProbability;
+            if (hangs)
+                this->recordHungStart(target, index);
             const double work = hangs ? hangingWorkSeconds : std::lognormal_distribution<double>(std::log(this->load.workSeconds), 0.5)(this->random) * (target.slow ? 5 : 1);
             // Requests beyond the target's slots wait in its queue.
             const double wait = target.running >= this->load.slots ? this->load.workSeconds * (target.running - this->load.slots + 1) : 0;
             ++target.running;
             const double end = std::min(this->now + wait + work, deadline);
             const AttemptOutcome outcome = end < deadline ? AttemptOutcome::Succeeded : AttemptOutcome::TimedOut;
-            this->schedule(end, [this, index, outcome, onEnd] {
+            this->schedule(end, [this, index, outcome, hangs, onEnd] {
                 --this->targets[index].running;
+                this->targets[index].hungEnded = this->targets[index].hungEnded || hangs;
                 onEnd(outcome);
             });
         }
@@ -203,10 +242,33 @@
 LoadOutcome simulateWithPool(const Load& load, std::uint64_t seed)
 {
     PoolSimulation simulation(load, seed);
+    simulation.countHangs();
     simulation.run([&simulation](std::uint64_t index) { simulation.requestAttempt(index, false); });
     return simulation.outcome;
 }
 
+LoadOutcome simulateWithKnowledge(const Load& load, std::uint64_t seed)
+{
+    Simulation simulation(load, seed);
+    simulation.countHangs();
+    simulation.run([&simulation](std::uint64_t index) {
+        std::size_t chosen = 0;
+        std::pair<bool, unsigned> best { true, std::numeric_limits<unsigned>::max() };
+        for (std::size_t target = 0; target < simulation.targets.size(); ++target) {
+            const std::pair rank { simulation.isHanging(target), simulation.targets[target].running };
+            if (rank < best) {
+                best = rank;
+                chosen = target;
+            }
+        }
+        simulation.startAttempt(chosen, simulation.requests[index].deadline, [&simulation, index](AttemptOutcome attemptOutcome) {
+            if (attemptOutcome == AttemptOutcome::Succeeded)
+                simulation.recordServed(simulation.requests[index]);
+        });
+    });
+    return simulation.outcome;
+}
+
 LoadOutcome simulateWithTwoChoices(const Load& load, std::uint64_t seed)
 {
     Simulation simulation(load, seed);
--- a/packages/grants/tests/LoadSimulation.h
+++ b/packages/grants/tests/LoadSimulation.h
@@ -22,6 +22,8 @@
     // Share of the targets that are hanging, drawn anew in each period.
     double hangShare { 0 };
     double hangPeriodSeconds { 9 };
+    // Each target's periods begin at a moment of its own, not all at once.
+    bool staggeredPeriods { false };
     // Share of its requests that a hanging target doesn't answer.
     double hangProbability { 0.75 };
     // Share of its requests that every target sheds.
@@ -34,12 +36,27 @@
     unsigned priorities { 1 };
 };
 
+// Attempts that hung, by what could be known of the target.
+struct HungAttempts {
+    // The first at a target in a period in which it hangs.
+    unsigned first { 0 };
+    // Sent while an earlier one hung there, before that had ended.
+    unsigned behindAnother { 0 };
+    // Sent after an earlier one had ended without an answer.
+    unsigned afterAnother { 0 };
+
+    unsigned total() const { return this->first + this->behindAnother + this->afterAnother; }
+};
+
 struct LoadOutcome {
     unsigned requests { 0 };
     unsigned served { 0 };
     unsigned withinObjective { 0 };
     // Requests that were refused without an attempt. Always 0 with two choices.
     unsigned refused { 0 };
+    HungAttempts hung;
+    // Times at which a target began to hang.
+    unsigned hangs { 0 };
     std::vector<unsigned> requestsByPriority;
     std::vector<unsigned> servedByPriority;
 
@@ -48,6 +65,9 @@
 };
 
 LoadOutcome simulateWithPool(const Load&, std::uint64_t seed);
+// Sends each request to the target with the fewest running ones among those that do not hang: the bound that a policy with
+// knowledge of the targets reaches.
+LoadOutcome simulateWithKnowledge(const Load&, std::uint64_t seed);
 LoadOutcome simulateWithTwoChoices(const Load&, std::uint64_t seed);
 
 }
