--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -115,6 +115,7 @@
     void respondToHeldRequests(bool dueOnly);
     void scheduleHeldRequests();
     void pollRelay(const std::shared_ptr<FollowedRelay>&);
+    // Polls the relay after the delay unless it has been dropped by then.
     void pollRelayAfter(const std::shared_ptr<FollowedRelay>&, Duration delay);
     void handleRelayResponse(const std::shared_ptr<FollowedRelay>&, const HttpResponse&);
     void publishChanges(StateKind, const std::vector<StateChange>&, const ChangeSource&);
