Log and count what relays send and what followers throw away

Large configurations came into force late, and the logs did not tell how many bytes of a relay's response were received before the poll failed, nor how long it took. A line for each failed poll, counters for bytes sent, received and thrown away.

--- a/packages/proxy/include/flamingowick/proxy/HttpClient.h
+++ b/packages/proxy/include/flamingowick/proxy/HttpClient.h
@@ -20,6 +20,8 @@
     // Why no response was received; empty otherwise.
     std::string reason;
     std::vector<Header> headers {};
+    // Bytes of the response that arrived before a failed call ended.
+    std::size_t bytesBeforeFailure { 0 };
 };
 
 using ResponseHandler = std::function<void(HttpResponse)>;
--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -5,6 +5,7 @@
 #include "flamingowick/proxy/HttpClient.h"
 #include "flamingowick/proxy/StateCache.h"
 #include "flamingowick/telemetry/EventLog.h"
+#include "flamingowick/telemetry/Metrics.h"
 
 #include <array>
 #include <functional>
@@ -62,7 +63,7 @@
 public:
     // Serves followers at the TCP address. Throws SettingsError 111 for an invalid address, GatewayError 400 when it
     // can't be listened on.
-    StateFeed(asio::io_context&, std::string_view address, std::string failureDomain, Fleet&, telemetry::EventLog&, FeedCallbacks);
+    StateFeed(asio::io_context&, std::string_view address, std::string failureDomain, Fleet&, telemetry::EventLog&, telemetry::Metrics&, FeedCallbacks);
     ~StateFeed();
     StateFeed(const StateFeed&) = delete;
     StateFeed& operator=(const StateFeed&) = delete;
@@ -126,6 +127,7 @@
     std::string failureDomain;
     Fleet& fleet;
     telemetry::EventLog& log;
+    telemetry::Metrics& metrics;
     FeedCallbacks callbacks;
     FeedLimits limits;
     std::array<KindCache, allStateKinds.size()> caches;
--- a/packages/proxy/src/HttpClient.cpp
+++ b/packages/proxy/src/HttpClient.cpp
@@ -29,6 +29,7 @@
     {
         this->handler = std::move(responseHandler);
         this->reader.restart(responseLimits);
+        this->receivedBytes = 0;
         this->output = call.method + " " + call.path + " HTTP/1.1\r\nHost: " + this->owner.host + "\r\n";
         if (!call.body.empty())
             this->output.append("Content-Type: application/json\r\nContent-Length: ").append(std::to_string(call.body.size())).append("\r\n");
@@ -63,6 +64,8 @@
         this->handler = nullptr;
         this->timer.cancel();
         this->owner.activeConnections.erase(self);
+        if (response.status == 0)
+            response.bytesBeforeFailure = this->receivedBytes;
         if (reuse)
             this->owner.idleConnections.push_back(self);
         else
@@ -113,6 +116,7 @@
             this->finish({ 0, {}, "connection: " + error.message() }, false);
             return;
         }
+        this->receivedBytes += size;
         const std::size_t consumed = this->reader.parse(std::string_view(this->inputBuffer).substr(0, size));
         if (this->reader.state() == ReadState::Incomplete) {
             this->read();
@@ -137,6 +141,7 @@
     std::string inputBuffer;
     std::string output;
     ResponseHandler handler;
+    std::size_t receivedBytes { 0 };
     bool reading { false };
     bool closed { false };
 };
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -80,14 +80,16 @@
     std::string name;
     HttpClient client;
     Timer pollTimer;
+    TimePoint polledAt;
     bool dropped { false };
 };
 
-StateFeed::StateFeed(asio::io_context& ioContext, std::string_view address, std::string ownDomain, Fleet& knownFleet, telemetry::EventLog& eventLog, FeedCallbacks feedCallbacks)
+StateFeed::StateFeed(asio::io_context& ioContext, std::string_view address, std::string ownDomain, Fleet& knownFleet, telemetry::EventLog& eventLog, telemetry::Metrics& counters, FeedCallbacks feedCallbacks)
     : io(ioContext)
     , failureDomain(std::move(ownDomain))
     , fleet(knownFleet)
     , log(eventLog)
+    , metrics(counters)
     , callbacks(std::move(feedCallbacks))
     , heldRequestTimer(ioContext)
     , reviewTimer(ioContext)
@@ -186,6 +188,7 @@
     HttpMessage message;
     message.status = 200;
     message.body = content.SerializeAsString();
+    this->metrics.increment("flamingowick_feed_sent_bytes_total", {}, message.body.size());
     request.connection->respond(message);
 }
 
@@ -287,6 +290,7 @@
     std::string path = std::string(statePath).append("?");
     for (std::size_t index = 0; index < kindNames.size(); ++index)
         path.append(kindNames.at(index)).append("=").append(std::to_string(this->caches.at(index).seenRevision)).append("&");
+    relay->polledAt = Clock::now();
     HttpCall call;
     call.path = std::move(path);
     call.timeout = this->limits.longPollTimeout + this->limits.responseMargin;
@@ -301,6 +305,7 @@
     Duration delay = Duration::zero();
     if (response.status == 200 && content.ParseFromString(response.body)) {
         this->lastRelayResponseAt = Clock::now();
+        this->metrics.increment("flamingowick_feed_received_bytes_total", {}, response.body.size());
         this->lastStoreContactAt = std::max(this->lastStoreContactAt, *this->lastRelayResponseAt - milliseconds(content.contact_age()));
         for (const wire::KindState& state : content.kinds()) {
             if (state.kind() >= kindNames.size())
@@ -322,6 +327,10 @@
         }
     } else {
         delay = this->limits.retryDelay;
+        this->metrics.increment("flamingowick_feed_polls_failed_total");
+        this->metrics.increment("flamingowick_feed_discarded_bytes_total", {}, response.bytesBeforeFailure);
+        this->log.write(EventScope::Process, "feed", "poll-failed",
+            EventFields().text("relay", relay->name).text("reason", response.reason).number("status", response.status).number("receivedBytes", static_cast<std::int64_t>(response.bytesBeforeFailure)).milliseconds("tookMs", Clock::now() - relay->polledAt));
         this->callbacks.onMemberSilent(relay->name);
         this->reviewRoles();
         if (relay->dropped)
--- a/packages/proxy/tests/unit-feed.cpp
+++ b/packages/proxy/tests/unit-feed.cpp
@@ -11,7 +11,8 @@
     Fleet fleet;
     std::string address { freeAddress() };
     FeedCallbacks callbacks { [](bool) {}, [](StateKind, const std::vector<StateChange>&, Duration) {}, [] { return Duration::zero(); }, [](const std::string&) {} };
-    StateFeed feed { testBed.io, address, "a", fleet, testBed.log, callbacks };
+    telemetry::Metrics metrics;
+    StateFeed feed { testBed.io, address, "a", fleet, testBed.log, metrics, callbacks };
 
     std::string answerTo(const std::string& query)
     {
