--- a/packages/proxy/tests/unit-feed.cpp
+++ b/packages/proxy/tests/unit-feed.cpp
@@ -2,17 +2,106 @@
 
 #include "flamingowick/proxy/StateFeed.h"
 
+#include <random>
+
 using namespace flamingowick;
 using namespace flamingowick::proxy;
 
+namespace {
+
+const FeedCallbacks noCallbacks { [](bool) {}, [](StateKind, const std::vector<StateChange>&, Duration) {}, [] { return Duration::zero(); }, [](const std::string&) {} };
+
+// Returns a configuration in the form in which stores contain it, with routes of random names. The routes are the same for
+// the same seed, so that one configuration extends another.
+std::string configurationPayload(unsigned routeCount, unsigned version)
+{
+    constexpr std::string_view letters = "abcdefghijklmnopqrstuvwxyz0123456789";
+    std::mt19937 random(7);
+    const auto randomText = [&](std::size_t length) {
+        std::string text(length, '\0');
+        for (char& letter : text)
+            letter = letters[random() % letters.size()];
+        return text;
+    };
+    std::string payload = "{\"version\":\"" + std::to_string(version) + "\",\"listeners\":[";
+    for (unsigned index = 0; index < routeCount; ++index) {
+        payload += index == 0 ? "" : ",";
+        payload += R"({"host":")" + randomText(6) + R"(.example","routeRules":[{"name":"r-)" + randomText(7) + R"(","kind":"safe","targetLatency":"800ms","priority":2,"match":{"pathPrefix":"/)" + randomText(8) + R"(/"},"action":{"service":"stock","timeout":"1200ms","maxAttempts":2}}]})";
+    }
+    return payload + "]}";
+}
+
+// Daemons of one failure domain, some of which are relays that have the state from the store.
+struct DomainOfFeeds {
+    struct Daemon {
+        std::string address { freeAddress() };
+        Fleet fleet;
+        telemetry::Metrics metrics;
+        std::unique_ptr<StateFeed> feed;
+    };
+
+    DomainOfFeeds(ProxyTestBed& bed, unsigned count)
+        : testBed(bed)
+    {
+        std::vector<FleetMember> members;
+        for (unsigned index = 0; index < count; ++index) {
+            this->daemons.push_back(std::make_unique<Daemon>());
+            members.push_back({ "vm-" + std::to_string(index), this->daemons.back()->address, "a" });
+        }
+        for (unsigned index = 0; index < count; ++index) {
+            Daemon& daemon = *this->daemons[index];
+            daemon.fleet.self = members[index].name;
+            setMembers(daemon.fleet, members, Clock::now());
+            daemon.feed = std::make_unique<StateFeed>(bed.io, daemon.address, "a", daemon.fleet, bed.log, daemon.metrics, noCallbacks);
+        }
+    }
+
+    // Applies a configuration at the relays, as from the store, and waits until all daemons have it.
+    bool spread(std::uint64_t revision, const std::string& payload)
+    {
+        for (const auto& daemon : this->daemons) {
+            daemon->feed->recordStoreContact();
+            daemon->feed->reviewRoles();
+            if (daemon->feed->isRelayDaemon())
+                daemon->feed->applySnapshot(StateKind::Configuration, revision, std::vector<StateObject> { { "main", revision, payload } });
+        }
+        return this->testBed.runUntil([&] {
+            return std::all_of(this->daemons.begin(), this->daemons.end(), [&](const auto& daemon) {
+                const auto& objects = daemon->feed->cacheFor(StateKind::Configuration).objects;
+                const auto found = objects.find("main");
+                return found != objects.end() && found->second.revision == revision && found->second.payload == payload;
+            });
+        });
+    }
+
+    // Bytes that the relay with the most to send has sent to its followers.
+    std::uint64_t mostBytesSent() const
+    {
+        std::uint64_t most = 0;
+        for (const auto& daemon : this->daemons)
+            most = std::max(most, daemon->metrics.counterValue("flamingowick_feed_sent_bytes_total"));
+        return most;
+    }
+
+    ProxyTestBed& testBed;
+    std::vector<std::unique_ptr<Daemon>> daemons;
+};
+
+// Returns how long a link of 10 Mbit/s needs for the bytes.
+Duration timeOnNarrowLink(std::uint64_t bytes)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(static_cast<double>(bytes) * 8 / 10e6));
+}
+
+}
+
 TEST_GROUP(Feed)
 {
     ProxyTestBed testBed;
     Fleet fleet;
     std::string address { freeAddress() };
-    FeedCallbacks callbacks { [](bool) {}, [](StateKind, const std::vector<StateChange>&, Duration) {}, [] { return Duration::zero(); }, [](const std::string&) {} };
     telemetry::Metrics metrics;
-    StateFeed feed { testBed.io, address, "a", fleet, testBed.log, metrics, callbacks };
+    StateFeed feed { testBed.io, address, "a", fleet, testBed.log, metrics, noCallbacks };
 
     std::string answerTo(const std::string& query)
     {
@@ -31,3 +120,16 @@
     CHECK(answerTo("configuration=0&targets=0&members=0&quarantines=0&").find("refused-request") != std::string::npos);
     CHECK(answerTo("configuration=0&targets=0&members=0&").find("refused-request") == std::string::npos);
 }
+
+// Guards against a large configuration that occupies the links of the relays for seconds: each of 42 followers was sent all
+// of it by both of its relays.
+TEST(Feed, SpreadsALargeConfigurationBeforeFollowersGiveUpOnTheirRelays)
+{
+    DomainOfFeeds domain(testBed, 44);
+    CHECK(domain.spread(10, configurationPayload(18, 1)));
+    testBed.runFor(milliseconds(600));
+    const std::uint64_t before = domain.mostBytesSent();
+    CHECK(domain.spread(11, configurationPayload(1418, 2)));
+    testBed.runFor(milliseconds(600));
+    CHECK_COMPARE(timeOnNarrowLink(domain.mostBytesSent() - before).count(), <, FeedLimits().maxContactAge.count());
+}
