Compress the state that relays send, against the configuration of the follower

Cause: a relay sent a configuration of 1,418 routes (290 KB) to 42 followers, which takes 10 s on a link of 10 Mbit/s. Kinds of 4 KiB and more are sent as zstd frames, a configuration as the difference to the one that the follower names in its poll. A follower names none in an earlier release, and gets the state as before; an earlier relay ignores the parameter.

--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -8,16 +8,25 @@
 #include "flamingowick/telemetry/Metrics.h"
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
+#include <tuple>
 
 // Distributes the store's state without every daemon watching the store: in each failure domain a few daemons,
 // the relays, watch the store, and the others follow two relays each by long polling. A follower that reaches no
 // relay with a current connection to the store watches the store itself.
 namespace flamingowick::proxy {
 
+namespace wire {
+    class CompressedKind;
+    class KindState;
+    class StateAnswer;
+}
+
 struct FeedLimits {
     // How long a relay holds a request while there are no changes. It then answers without any, which shows the
     // follower that the relay is reachable.
@@ -100,8 +109,13 @@
         std::shared_ptr<CallerConnection> connection;
         // Empty for kinds that the follower did not ask for, because its release doesn't know them.
         std::array<std::optional<std::uint64_t>, allStateKinds.size()> seenRevisions {};
+        // Revision of the follower's configuration object, 0 if it has none. Empty if its release reads no compressed kinds.
+        std::optional<std::uint64_t> baseRevision;
         TimePoint dueAt;
     };
+    // Identifies what a follower is sent of one kind, until the kind changes: its kind, and the revisions that it has seen
+    // of the kind and has of the configuration.
+    using DeltaKey = std::tuple<StateKind, std::uint64_t, std::uint64_t>;
     struct FollowedRelay;
     struct ChangeSource {
         // The kind of the store's response, or the name of the relay.
@@ -113,6 +127,15 @@
     void handleRequest(const std::shared_ptr<CallerConnection>&);
     bool hasChangesFor(const HeldRequest&) const;
     void sendResponse(HeldRequest&);
+    // Adds what the follower lacks of a kind, compressed where it is large and the follower can read that.
+    void writeKind(StateKind, std::uint64_t seenRevision, const HeldRequest&, wire::StateAnswer&);
+    void rememberConfigurations(const std::vector<StateChange>&);
+    // Returns a configuration object that followers may still have; none when it is no longer or not known.
+    const StateObject* configurationAt(std::uint64_t revision) const;
+    std::uint64_t configurationRevision() const;
+    void applyKind(const wire::KindState&, const wire::StateAnswer&, const std::string& relay);
+    // Restores a compressed kind and applies it. Returns false if it can't be read.
+    bool applyCompressedKind(const wire::CompressedKind&, const wire::StateAnswer&, const std::string& relay);
     void respondToHeldRequests(bool dueOnly);
     void scheduleHeldRequests();
     void pollRelay(const std::shared_ptr<FollowedRelay>&);
@@ -133,6 +156,10 @@
     std::array<KindCache, allStateKinds.size()> caches;
     std::unique_ptr<CallerServer> server;
     std::list<HeldRequest> heldRequests;
+    // The last configuration objects, the newest last, for followers that are a few changes behind.
+    std::deque<StateObject> recentConfigurations;
+    // Compressed kinds; most followers lack the same.
+    std::map<DeltaKey, std::string> compressedDeltas;
     std::vector<std::shared_ptr<FollowedRelay>> followedRelays;
     Timer heldRequestTimer;
     Timer reviewTimer;
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -1,6 +1,7 @@
 #include "flamingowick/proxy/StateFeed.h"
 
 #include "flamingowick/model/StableHash.h"
+#include "flamingowick/proxy/Compression.h"
 
 #include <state.pb.h>
 
@@ -17,6 +18,8 @@
 
     constexpr unsigned maxPeerConnections = 512;
     constexpr std::string_view statePath = "/state";
+    // Revision of the configuration object that a follower has; states that it reads compressed kinds.
+    constexpr std::string_view baseParameter = "base";
     constexpr std::array<std::string_view, allStateKinds.size()> kindNames { "configuration", "targets", "members", "quarantines" };
 
     // Returns the value of a parameter in the query of a request target: nothing when it is missing, 0 when it is not a
@@ -32,10 +35,17 @@
         return value;
     }
 
-    void writeDelta(const KindCache& cache, StateKind kind, std::uint64_t seenRevision, wire::StateAnswer& content)
+    // Kinds of this size and more are compressed.
+    constexpr std::size_t minCompressedBytes = 4U << 10U;
+    // Most bytes of a kind once it is restored.
+    constexpr std::size_t maxKindBytes = 16U << 20U;
+    // Configurations that are kept as bases: a follower is rarely further behind, and gets it without a base then.
+    constexpr std::size_t maxRecentConfigurations = 3;
+
+    wire::KindState deltaOf(const KindCache& cache, StateKind kind, std::uint64_t seenRevision)
     {
         const StateDelta delta = changesSince(cache, seenRevision);
-        wire::KindState& state = *content.add_kinds();
+        wire::KindState state;
         state.set_kind(static_cast<std::uint32_t>(kind));
         state.set_revision(delta.revision);
         state.set_whole(delta.isSnapshot);
@@ -46,6 +56,7 @@
             object.set_payload(change.object.payload);
             object.set_removed(change.removed);
         }
+        return state;
     }
 
 }
@@ -81,6 +92,8 @@
     HttpClient client;
     Timer pollTimer;
     TimePoint polledAt;
+    // Set when a compressed kind could not be read: the next poll asks for none.
+    bool readsPlainOnly { false };
     bool dropped { false };
 };
 
@@ -125,7 +138,9 @@
 {
     if (changes.empty())
         return;
+    this->compressedDeltas.clear();
     if (kind == StateKind::Configuration) {
+        this->rememberConfigurations(changes);
         this->log.write(EventScope::Process, "feed", "configuration-received",
             EventFields().text("source", source.name).number("revision", static_cast<std::int64_t>(changes.back().object.revision)).milliseconds("contactAgeMs", this->storeContactAge()));
     }
@@ -156,6 +171,7 @@
     request.connection = connection;
     for (std::size_t index = 0; index < kindNames.size(); ++index)
         request.seenRevisions.at(index) = queryParameter(target, kindNames.at(index));
+    request.baseRevision = queryParameter(target, baseParameter);
     if (this->hasChangesFor(request) || this->stopped) {
         this->sendResponse(request);
         return;
@@ -183,7 +199,7 @@
     for (std::size_t index = 0; index < kindNames.size(); ++index) {
         const std::optional<std::uint64_t> seenRevision = request.seenRevisions.at(index);
         if (seenRevision && hasChangesSince(this->caches.at(index), *seenRevision))
-            writeDelta(this->caches.at(index), allStateKinds.at(index), *seenRevision, content);
+            this->writeKind(allStateKinds.at(index), *seenRevision, request, content);
     }
     HttpMessage message;
     message.status = 200;
@@ -192,6 +208,54 @@
     request.connection->respond(message);
 }
 
+void StateFeed::writeKind(StateKind kind, std::uint64_t seenRevision, const HeldRequest& request, wire::StateAnswer& content)
+{
+    const KindCache& cache = this->caches.at(static_cast<std::size_t>(kind));
+    const DeltaKey key { kind, seenRevision, request.baseRevision.value_or(0) };
+    auto compressed = request.baseRevision ? this->compressedDeltas.find(key) : this->compressedDeltas.end();
+    const StateObject* base = kind == StateKind::Configuration && request.baseRevision ? this->configurationAt(*request.baseRevision) : nullptr;
+    if (compressed == this->compressedDeltas.end()) {
+        wire::KindState state = deltaOf(cache, kind, seenRevision);
+        if (!request.baseRevision || state.ByteSizeLong() < minCompressedBytes) {
+            *content.add_kinds() = std::move(state);
+            return;
+        }
+        std::optional<std::string> frame = compress(state.SerializeAsString(), base ? std::string_view(base->payload) : std::string_view());
+        if (!frame) {
+            this->log.write(EventScope::Process, "feed", "not-compressed", EventFields().text("kind", kindNames.at(static_cast<std::size_t>(kind))).number("bytes", static_cast<std::int64_t>(state.ByteSizeLong())));
+            *content.add_kinds() = std::move(state);
+            return;
+        }
+        compressed = this->compressedDeltas.emplace(key, std::move(*frame)).first;
+    }
+    wire::CompressedKind& entry = *content.add_compressed_kinds();
+    entry.set_kind(static_cast<std::uint32_t>(kind));
+    entry.set_revision(cache.seenRevision);
+    entry.set_content(compressed->second);
+    entry.set_base_revision(base ? base->revision : 0);
+}
+
+void StateFeed::rememberConfigurations(const std::vector<StateChange>& changes)
+{
+    for (const StateChange& change : changes) {
+        if (!change.removed)
+            this->recentConfigurations.push_back(change.object);
+    }
+    while (this->recentConfigurations.size() > maxRecentConfigurations)
+        this->recentConfigurations.pop_front();
+}
+
+const StateObject* StateFeed::configurationAt(std::uint64_t revision) const
+{
+    const auto found = std::find_if(this->recentConfigurations.begin(), this->recentConfigurations.end(), [revision](const StateObject& object) { return object.revision == revision; });
+    return found == this->recentConfigurations.end() ? nullptr : &*found;
+}
+
+std::uint64_t StateFeed::configurationRevision() const
+{
+    return this->recentConfigurations.empty() ? 0 : this->recentConfigurations.back().revision;
+}
+
 void StateFeed::respondToHeldRequests(bool dueOnly)
 {
     const TimePoint now = Clock::now();
@@ -291,6 +355,8 @@
     for (std::size_t index = 0; index < kindNames.size(); ++index)
         path.append(kindNames.at(index)).append("=").append(std::to_string(this->caches.at(index).seenRevision)).append("&");
     relay->polledAt = Clock::now();
+    if (!relay->readsPlainOnly)
+        path.append(baseParameter).append("=").append(std::to_string(this->configurationRevision())).append("&");
     HttpCall call;
     call.path = std::move(path);
     call.timeout = this->limits.longPollTimeout + this->limits.responseMargin;
@@ -307,24 +373,15 @@
         this->lastRelayResponseAt = Clock::now();
         this->metrics.increment("flamingowick_feed_received_bytes_total", {}, response.body.size());
         this->lastStoreContactAt = std::max(this->lastStoreContactAt, *this->lastRelayResponseAt - milliseconds(content.contact_age()));
-        for (const wire::KindState& state : content.kinds()) {
-            if (state.kind() >= kindNames.size())
-                continue;
-            const StateKind kind = allStateKinds.at(state.kind());
-            std::vector<StateChange> changes;
-            std::vector<StateObject> objects;
-            for (const wire::StateObject& object : state.objects()) {
-                if (state.whole())
-                    objects.push_back({ object.name(), object.revision(), object.payload() });
-                else
-                    changes.push_back({ { object.name(), object.revision(), object.payload() }, object.removed() });
-            }
-            KindCache& cache = this->caches.at(state.kind());
-            const bool isContactRecent = milliseconds(content.contact_age()) < this->limits.maxContactAge;
-            const Duration storeConnectedFor = isContactRecent ? Duration(milliseconds(content.in_touch_for())) : Duration::zero();
-            this->publishChanges(kind, state.whole() ? proxy::applySnapshot(cache, state.revision(), objects) : proxy::applyChanges(cache, state.revision(), changes), { relay->name, storeConnectedFor });
-            delay = this->limits.changeBatchDelay;
+        relay->readsPlainOnly = false;
+        for (const wire::KindState& state : content.kinds())
+            this->applyKind(state, content, relay->name);
+        for (const wire::CompressedKind& state : content.compressed_kinds()) {
+            if (!this->applyCompressedKind(state, content, relay->name))
+                relay->readsPlainOnly = true;
         }
+        if (content.kinds_size() + content.compressed_kinds_size() > 0)
+            delay = this->limits.changeBatchDelay;
     } else {
         delay = this->limits.retryDelay;
         this->metrics.increment("flamingowick_feed_polls_failed_total");
@@ -343,6 +400,40 @@
     this->pollRelayAfter(relay, delay);
 }
 
+void StateFeed::applyKind(const wire::KindState& state, const wire::StateAnswer& answer, const std::string& relay)
+{
+    if (state.kind() >= kindNames.size())
+        return;
+    const StateKind kind = allStateKinds.at(state.kind());
+    std::vector<StateChange> changes;
+    std::vector<StateObject> objects;
+    for (const wire::StateObject& object : state.objects()) {
+        if (state.whole())
+            objects.push_back({ object.name(), object.revision(), object.payload() });
+        else
+            changes.push_back({ { object.name(), object.revision(), object.payload() }, object.removed() });
+    }
+    KindCache& cache = this->caches.at(state.kind());
+    const bool isContactRecent = milliseconds(answer.contact_age()) < this->limits.maxContactAge;
+    const Duration storeConnectedFor = isContactRecent ? Duration(milliseconds(answer.in_touch_for())) : Duration::zero();
+    this->publishChanges(kind, state.whole() ? proxy::applySnapshot(cache, state.revision(), objects) : proxy::applyChanges(cache, state.revision(), changes), { relay, storeConnectedFor });
+}
+
+bool StateFeed::applyCompressedKind(const wire::CompressedKind& compressed, const wire::StateAnswer& answer, const std::string& relay)
+{
+    const StateObject* base = this->configurationAt(compressed.base_revision());
+    const bool hasBase = base != nullptr || compressed.base_revision() == 0;
+    const std::optional<std::string> content = hasBase ? decompress(compressed.content(), base ? std::string_view(base->payload) : std::string_view(), maxKindBytes) : std::nullopt;
+    wire::KindState state;
+    if (content && state.ParseFromString(*content)) {
+        this->applyKind(state, answer, relay);
+        return true;
+    }
+    this->log.write(EventScope::Process, "feed", "state-unreadable",
+        EventFields().text("relay", relay).number("kind", compressed.kind()).number("bytes", static_cast<std::int64_t>(compressed.content().size())).number("baseRevision", static_cast<std::int64_t>(compressed.base_revision())).flag("hasBase", hasBase));
+    return false;
+}
+
 void StateFeed::pollRelayAfter(const std::shared_ptr<FollowedRelay>& relay, Duration delay)
 {
     relay->pollTimer.expires_after(delay);
--- a/packages/proxy/tests/unit-feed.cpp
+++ b/packages/proxy/tests/unit-feed.cpp
@@ -1,5 +1,9 @@
+// Comes first: the test harness defines the operator new as a macro.
+#include <state.pb.h>
+
 #include "ProxyTestBed.h"
 
+#include "flamingowick/proxy/Compression.h"
 #include "flamingowick/proxy/StateFeed.h"
 
 #include <random>
@@ -133,3 +137,120 @@
     testBed.runFor(milliseconds(600));
     CHECK_COMPARE(timeOnNarrowLink(domain.mostBytesSent() - before).count(), <, FeedLimits().maxContactAge.count());
 }
+
+// While VMs are replaced one after the other, daemons of two releases pass the state on to each other.
+TEST(Feed, SendsAFollowerOfAnEarlierReleaseTheStateUncompressed)
+{
+    const std::string payload = configurationPayload(200, 1);
+    feed.applySnapshot(StateKind::Configuration, 5, std::vector<StateObject> { { "main", 5, payload } });
+    CHECK(answerTo("configuration=0&targets=0&members=0&quarantines=0&").find(payload) != std::string::npos);
+    CHECK(answerTo("configuration=0&targets=0&members=0&quarantines=0&base=0&").find(payload) == std::string::npos);
+}
+
+TEST_GROUP(FeedFollower)
+{
+    ProxyTestBed testBed;
+    std::vector<std::string> addresses { freeAddress(), freeAddress(), freeAddress() };
+    std::vector<FleetMember> members;
+    Fleet fleet;
+    telemetry::Metrics metrics;
+    std::unique_ptr<StateFeed> feed;
+    // Stands for both relays; each answers with the result of the function.
+    std::vector<std::unique_ptr<CallerServer>> relays;
+    std::vector<std::string> polls;
+
+    void start(std::function<std::string(const std::string& target)> answer)
+    {
+        for (std::size_t index = 0; index < addresses.size(); ++index)
+            members.push_back({ "vm-" + std::to_string(index), addresses[index], "a" });
+        setMembers(fleet, members, Clock::now());
+        const std::vector<std::string> relayNames = relaysForDomain(fleet, "a", {});
+        for (const FleetMember& member : members) {
+            if (std::find(relayNames.begin(), relayNames.end(), member.name) == relayNames.end()) {
+                fleet.self = member.name;
+                feed = std::make_unique<StateFeed>(testBed.io, member.address, "a", fleet, testBed.log, metrics, noCallbacks);
+                continue;
+            }
+            relays.push_back(std::make_unique<CallerServer>(testBed.io, member.address, 8, CallerServerHandlers { [] { return CallerLimits {}; }, [this, answer](const std::shared_ptr<CallerConnection>& poll) {
+                polls.push_back(poll->request().target);
+                HttpMessage response;
+                response.status = 200;
+                response.body = answer(poll->request().target);
+                poll->respond(response); } }));
+        }
+        feed->recordStoreContact();
+        feed->reviewRoles();
+    }
+
+    bool receives(const std::string& payload)
+    {
+        return testBed.runUntil([&] {
+            const auto& objects = feed->cacheFor(StateKind::Configuration).objects;
+            return !objects.empty() && objects.begin()->second.payload == payload;
+        },
+            seconds(3));
+    }
+
+    // Returns the configuration as a relay sends it.
+    static wire::KindState configurationState(std::uint64_t revision, const std::string& payload)
+    {
+        wire::KindState state;
+        state.set_kind(0);
+        state.set_revision(revision);
+        state.set_whole(true);
+        wire::StateObject& object = *state.add_objects();
+        object.set_name("main");
+        object.set_revision(revision);
+        object.set_payload(payload);
+        return state;
+    }
+
+    static std::string plainAnswer(std::uint64_t revision, const std::string& payload)
+    {
+        wire::StateAnswer answer;
+        *answer.add_kinds() = configurationState(revision, payload);
+        return answer.SerializeAsString();
+    }
+};
+
+TEST(FeedFollower, ReadsTheAnswerOfARelayOfAnEarlierRelease)
+{
+    const std::string payload = configurationPayload(200, 1);
+    start([&](const std::string&) { return plainAnswer(5, payload); });
+    CHECK(receives(payload));
+}
+
+// Guards against a follower that asks for the same state again and again because it can't read it.
+TEST(FeedFollower, AsksForTheStateUncompressedOnceItCannotReadIt)
+{
+    const std::string payload = configurationPayload(200, 1);
+    start([&](const std::string& target) {
+        if (target.find("base=") == std::string::npos)
+            return plainAnswer(5, payload);
+        wire::StateAnswer answer;
+        wire::CompressedKind& state = *answer.add_compressed_kinds();
+        state.set_revision(5);
+        state.set_content(compress(configurationState(5, payload).SerializeAsString(), "content that the follower lacks").value());
+        state.set_base_revision(4);
+        return answer.SerializeAsString();
+    });
+    CHECK(receives(payload));
+}
+
+TEST(FeedFollower, ReadsACompressedStateThatRefersToItsConfiguration)
+{
+    const std::string first = configurationPayload(200, 1);
+    const std::string second = configurationPayload(201, 2);
+    start([&](const std::string& target) {
+        if (target.find("base=5") == std::string::npos)
+            return plainAnswer(5, first);
+        wire::StateAnswer answer;
+        wire::CompressedKind& state = *answer.add_compressed_kinds();
+        state.set_revision(6);
+        state.set_content(compress(configurationState(6, second).SerializeAsString(), first).value());
+        state.set_base_revision(5);
+        return answer.SerializeAsString();
+    });
+    CHECK(receives(first));
+    CHECK(receives(second));
+}
