Prefer daemons with broad links as relays

Cause: relays were chosen by the hash of their names, so that VMs of 10 Mbit/s served domains that have VMs of 200 Mbit/s. Daemons state their link in their object and in their presence; once all of a failure domain do, those with the broadest links are its relays. While one of an earlier release is among them, all choose as it does.

--- a/packages/proxy/include/flamingowick/proxy/Fleet.h
+++ b/packages/proxy/include/flamingowick/proxy/Fleet.h
@@ -20,11 +20,15 @@
     // UDP and TCP address as "ip:port".
     std::string address;
     std::string failureDomain;
+    // Bandwidth of the VM's network link in Mbit/s; 0 when it isn't known, as of a daemon of an earlier release.
+    double linkMbps { 0 };
 };
 
 struct KnownMember {
     std::string address;
     std::string failureDomain;
+    // As FleetMember::linkMbps.
+    double linkMbps { 0 };
     bool leaving { false };
     // Set when the member did not answer. It gets probes but no requests until a message arrives from it.
     bool suspected { false };
--- a/packages/proxy/include/flamingowick/proxy/PeerLink.h
+++ b/packages/proxy/include/flamingowick/proxy/PeerLink.h
@@ -66,6 +66,8 @@
     bool leaving { false };
     bool wantsReply { false };
     std::string failureDomain;
+    // As FleetMember::linkMbps.
+    double linkMbps { 0 };
 };
 
 // A target crashed while it ran a request.
--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -100,6 +100,7 @@
     void sendGrantReply(const std::string& dispatcher, const GrantReplyMessage&);
     void queryAttempt(const grants::AttemptId&);
     void deliverLocalDecision(const grants::Decision&);
+    PresenceMessage presenceMessage(bool leaving, bool wantsReply) const;
     void announcePresence(bool leaving, bool wantsReply);
     void checkStopProgress();
     void scheduleLogFlush();
--- a/packages/proxy/include/flamingowick/proxy/ProxySettings.h
+++ b/packages/proxy/include/flamingowick/proxy/ProxySettings.h
@@ -43,11 +43,13 @@
     std::string readyAddress;
     // Empty if no metrics are served.
     std::string metricsAddress;
-    // UDP address for datagrams between daemons.
+    // Address for messages between daemons, UDP and TCP.
     std::string peerAddress;
     // Address of the platform's object store.
     std::string storeAddress;
     HeaderNames headers;
+    // Bandwidth of the VM's network link in Mbit/s; 0 when it isn't known. Daemons with a broad link are preferred as relays.
+    double linkMbps { 0 };
     // Decides which calls the daemon makes to the store at its start.
     FleetStage fleetStage { FleetStage::Unknown };
     // Time after which the platform kills a process that it told to stop.
--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -64,7 +64,8 @@
     std::function<void(const std::string&)> onMemberSilent;
 };
 
-// Returns the relays for daemons of a failure domain, the preferred ones first. Where the domain has no member that can
+// Returns the relays for daemons of a failure domain, the preferred ones first: those with the broadest links, once all of
+// the domain's daemons state theirs. Where the domain has no member that can
 // be a relay, they are chosen from all domains. Linear in the members.
 std::vector<std::string> relaysForDomain(Fleet&, std::string_view failureDomain, const FeedLimits&);
 
--- a/packages/proxy/src/Fleet.cpp
+++ b/packages/proxy/src/Fleet.cpp
@@ -41,6 +41,7 @@
             next = known->second;
         next.address = member.address;
         next.failureDomain = member.failureDomain;
+        next.linkMbps = member.linkMbps;
         members.emplace(member.name, std::move(next));
     }
     for (const auto& [name, member] : fleet.members) {
@@ -58,6 +59,7 @@
     known = KnownMember {};
     known.address = member.address;
     known.failureDomain = member.failureDomain;
+    known.linkMbps = member.linkMbps;
     known.joinedAt = now;
     rebuildIndexes(fleet);
 }
--- a/packages/proxy/src/PeerLink.cpp
+++ b/packages/proxy/src/PeerLink.cpp
@@ -28,6 +28,12 @@
         return value <= static_cast<std::uint32_t>(last) ? static_cast<Enum>(value) : last;
     }
 
+    // Returns a link's bandwidth as stated, 0 for what can't be one.
+    double boundedLink(double linkMbps)
+    {
+        return std::isfinite(linkMbps) && linkMbps > 0 ? linkMbps : 0;
+    }
+
     GrantRequestMessage readGrantRequest(const wire::Ask& wireRequest, std::uint64_t incarnation, TimePoint now)
     {
         GrantRequestMessage message;
@@ -173,6 +179,7 @@
     presence.set_leaving(message.leaving);
     presence.set_wants_reply(message.wantsReply);
     presence.set_failure_domain(message.failureDomain);
+    presence.set_link_mbps(message.linkMbps);
 }
 
 void PeerLink::send(const std::string& address, const CrashMessage& message)
@@ -251,7 +258,7 @@
     const TimePoint now = Clock::now();
     if (datagram.has_presence()) {
         const wire::Presence& presence = datagram.presence();
-        this->handlers.onPresence(source, { presence.name(), presence.address(), presence.leaving(), presence.wants_reply(), presence.failure_domain() });
+        this->handlers.onPresence(source, { presence.name(), presence.address(), presence.leaving(), presence.wants_reply(), presence.failure_domain(), boundedLink(presence.link_mbps()) });
     }
     // Refusals and crashes are handled before grant requests, which they may concern.
     for (const wire::Quarantine& refusal : datagram.quarantines())
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -48,7 +48,7 @@
 {
     this->directory.limits.lapseGrace = this->settings.lapseGrace;
     this->fleet.self = this->settings.vm;
-    addMember(this->fleet, { this->settings.vm, this->settings.peerAddress, this->settings.failureDomain }, Clock::now());
+    addMember(this->fleet, { this->settings.vm, this->settings.peerAddress, this->settings.failureDomain, this->settings.linkMbps }, Clock::now());
     this->peers = std::make_unique<PeerLink>(this->io, this->settings.peerAddress, this->ownIncarnation, this->makePeerHandlers());
     this->quarantine = std::make_unique<RequestQuarantine>(this->fleet, this->log, this->metrics, this->makeQuarantineCallbacks());
     // Two dispatchers may briefly serve the same group, so each pool gets less than half of the service's retry burst.
@@ -242,11 +242,16 @@
         this->onFleetChange();
 }
 
+PresenceMessage Proxy::presenceMessage(bool leaving, bool wantsReply) const
+{
+    return { this->settings.vm, this->settings.peerAddress, leaving, wantsReply, this->settings.failureDomain, this->settings.linkMbps };
+}
+
 void Proxy::announcePresence(bool leaving, bool wantsReply)
 {
     for (const auto& [name, member] : this->fleet.members) {
         if (name != this->fleet.self)
-            this->peers->send(member.address, PresenceMessage { this->settings.vm, this->settings.peerAddress, leaving, wantsReply, this->settings.failureDomain });
+            this->peers->send(member.address, this->presenceMessage(leaving, wantsReply));
     }
 }
 
@@ -388,7 +393,7 @@
             this->handleFleetChange();
         }
     } else if (known == this->fleet.members.end() || known->second.address != source.address || known->second.leaving) {
-        addMember(this->fleet, { message.name, source.address, message.failureDomain }, Clock::now());
+        addMember(this->fleet, { message.name, source.address, message.failureDomain, message.linkMbps }, Clock::now());
         this->log.write(EventScope::Process, "fleet", "member-joined", EventFields().text("member", message.name).text("address", source.address));
         this->handleFleetChange();
     }
@@ -397,7 +402,7 @@
         // A daemon that has just started knows no refusals and no limits.
         this->quarantine->sendRefusalsTo(source.address);
         this->sendLimitsTo(source.address);
-        this->peers->send(source.address, PresenceMessage { this->settings.vm, this->settings.peerAddress, this->stopping, false, this->settings.failureDomain });
+        this->peers->send(source.address, this->presenceMessage(this->stopping, false));
     }
     this->scheduleLogFlush();
 }
@@ -451,7 +456,7 @@
         if (error)
             return;
         for (const std::string& name : scheduleDueProbes(this->fleet, Clock::now()))
-            this->peers->send(this->fleet.members.at(name).address, PresenceMessage { this->settings.vm, this->settings.peerAddress, this->stopping, true, this->settings.failureDomain });
+            this->peers->send(this->fleet.members.at(name).address, this->presenceMessage(this->stopping, true));
         this->scheduleProbes();
     });
 }
--- a/packages/proxy/src/ProxySettingsText.cpp
+++ b/packages/proxy/src/ProxySettingsText.cpp
@@ -68,6 +68,7 @@
         readText(reader, "peerAddress", Presence::Required, checkAddress, settings.peerAddress);
         readText(reader, "storeAddress", Presence::Required, checkAddress, settings.storeAddress);
         readChoice<FleetStage>(reader, "fleetStage", fleetStages, settings.fleetStage);
+        readNumber(reader, "linkMbps", { 0, 1e6 }, settings.linkMbps);
         readDuration(reader, "stopGrace", settings.stopGrace);
         readMilliseconds(reader, "lapseGraceMs", { milliseconds(0), minutes(1) }, settings.lapseGrace);
         readNumber(reader, "retryRatio", { 0, 10 }, settings.retryRatio);
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -74,6 +74,10 @@
             inDomain.push_back(name);
     }
     std::vector<std::string>& selected = inDomain.empty() ? all : inDomain;
+    // While daemons that state no link are among them, all have to choose as those do.
+    const bool areLinksKnown = std::all_of(fleet.members.begin(), fleet.members.end(), [&](const auto& item) { return item.second.linkMbps > 0 || (!inDomain.empty() && item.second.failureDomain != failureDomain); });
+    if (areLinksKnown)
+        std::stable_sort(selected.begin(), selected.end(), [&fleet](const std::string& left, const std::string& right) { return fleet.members.at(left).linkMbps > fleet.members.at(right).linkMbps; });
     if (selected.size() > relayCount)
         selected.resize(relayCount);
     return selected;
--- a/packages/proxy/tests/unit-feed.cpp
+++ b/packages/proxy/tests/unit-feed.cpp
@@ -254,3 +254,36 @@
     CHECK(receives(first));
     CHECK(receives(second));
 }
+
+TEST_GROUP(Relays) {
+    // Returns the relays of a failure domain with daemons that have these links, in Mbit/s; 0 for an earlier release.
+    static std::vector<std::string> relaysOf(const std::vector<double>& links) {
+        Fleet fleet;
+std::vector<FleetMember> members;
+for (std::size_t index = 0; index < links.size(); ++index)
+    members.push_back({ "vm-" + std::to_string(index), "127.0.0.1:" + std::to_string(index + 1), "a", links[index] });
+setMembers(fleet, members, Clock::now());
+return relaysForDomain(fleet, "a", {});
+}
+}
+;
+
+// Guards against a large configuration that waits for the narrow links of relays while others of the domain are broad.
+TEST(Relays, AreTheDaemonsWithTheBroadestLinks)
+{
+    std::vector<double> links(44, 10);
+    links[17] = 200;
+    links[31] = 200;
+    std::vector<std::string> relays = relaysOf(links);
+    std::sort(relays.begin(), relays.end());
+    CHECK(relays == (std::vector<std::string> { "vm-17", "vm-31" }));
+}
+
+// While VMs are replaced one after the other, daemons of two releases have to choose the same relays.
+TEST(Relays, AreChosenAsInAnEarlierReleaseWhileADaemonStatesNoLink)
+{
+    std::vector<double> links(44, 10);
+    links[17] = 200;
+    links[31] = 0;
+    CHECK(relaysOf(links) == relaysOf(std::vector<double>(44, 0)));
+}
