Await a relay's response while it arrives

Cause: a poll of a relay had to be complete within 0.85 s, of which it may be held for 0.5 s. A large state over a narrow link was thrown away and asked for at another relay, which added to the load. Each part that arrives now extends the time. SlowResponse.IsAwaitedWhileItArrives fails without the extension.

--- a/packages/proxy/include/flamingowick/proxy/HttpClient.h
+++ b/packages/proxy/include/flamingowick/proxy/HttpClient.h
@@ -32,6 +32,9 @@
     std::string body;
     // From the start of the call to its complete response.
     Duration timeout { std::chrono::seconds(1) };
+    // Time by which each part of the response that arrives extends that, so that a large response over a slow link isn't thrown
+    // away and requested again. Zero if only the timeout counts.
+    Duration extension { 0 };
 };
 
 class HttpClientConnection;
--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -31,7 +31,7 @@
     // How long a relay holds a request while there are no changes. It then answers without any, which shows the
     // follower that the relay is reachable.
     std::chrono::milliseconds longPollTimeout { 500 };
-    // Time beyond longPollTimeout in which the relay's response has to arrive.
+    // Time beyond longPollTimeout in which the relay's response has to begin to arrive, and between its parts.
     Duration responseMargin { std::chrono::milliseconds(350) };
     // A follower watches the store itself when its last known contact with the store, direct or through a relay, is
     // older than this. Leaves most of the time in which a new configuration has to be applied.
--- a/packages/proxy/src/HttpClient.cpp
+++ b/packages/proxy/src/HttpClient.cpp
@@ -34,11 +34,8 @@
         if (!call.body.empty())
             this->output.append("Content-Type: application/json\r\nContent-Length: ").append(std::to_string(call.body.size())).append("\r\n");
         this->output.append("\r\n").append(call.body);
-        this->timer.expires_after(call.timeout);
-        this->timer.async_wait([self = this->shared_from_this()](const asio::error_code& error) {
-            if (!error)
-                self->finish({ 0, {}, "timeout" }, false);
-        });
+        this->extension = call.extension;
+        this->startTimer(Clock::now() + call.timeout);
         if (this->socket.is_open()) {
             this->send();
             return;
@@ -83,6 +80,15 @@
     }
 
 private:
+    void startTimer(TimePoint due)
+    {
+        this->timer.expires_at(due);
+        this->timer.async_wait([self = this->shared_from_this()](const asio::error_code& error) {
+            if (!error)
+                self->finish({ 0, {}, "timeout" }, false);
+        });
+    }
+
     void send()
     {
         asio::async_write(this->socket, asio::buffer(this->output), [self = this->shared_from_this()](const asio::error_code&, std::size_t) {
@@ -119,6 +125,8 @@
         this->receivedBytes += size;
         const std::size_t consumed = this->reader.parse(std::string_view(this->inputBuffer).substr(0, size));
         if (this->reader.state() == ReadState::Incomplete) {
+            if (const TimePoint extended = Clock::now() + this->extension; extended > this->timer.expiry())
+                this->startTimer(extended);
             this->read();
             return;
         }
@@ -142,6 +150,7 @@
     std::string output;
     ResponseHandler handler;
     std::size_t receivedBytes { 0 };
+    Duration extension { 0 };
     bool reading { false };
     bool closed { false };
 };
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -364,6 +364,7 @@
     HttpCall call;
     call.path = std::move(path);
     call.timeout = this->limits.longPollTimeout + this->limits.responseMargin;
+    call.extension = this->limits.responseMargin;
     relay->client.call(call, [this, relay](const HttpResponse& response) { this->handleRelayResponse(relay, response); });
 }
 
