--- a/packages/proxy/tests/unit-feed.cpp
+++ b/packages/proxy/tests/unit-feed.cpp
@@ -159,7 +159,7 @@
     std::vector<std::unique_ptr<CallerServer>> relays;
     std::vector<std::string> polls;
 
-    void start(std::function<std::string(const std::string& target)> answer)
+    void start(const std::function<std::string(const std::string& target)>& answer)
     {
         for (std::size_t index = 0; index < addresses.size(); ++index)
             members.push_back({ "vm-" + std::to_string(index), addresses[index], "a" });
