Choose relays by link among the daemons that state theirs

While VMs are replaced, the choice waited for the last daemon of an earlier release, and an object that such a daemon had stored kept its successor at the same address without a link for good.

--- a/packages/proxy/include/flamingowick/proxy/Fleet.h
+++ b/packages/proxy/include/flamingowick/proxy/Fleet.h
@@ -22,6 +22,8 @@
     std::string failureDomain;
     // Bandwidth of the VM's network link in Mbit/s; 0 when it isn't known, as of a daemon of an earlier release.
     double linkMbps { 0 };
+
+    bool operator==(const FleetMember&) const = default;
 };
 
 struct KnownMember {
--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -66,11 +66,15 @@
     std::function<bool(const std::shared_ptr<CallerConnection>&)> onOtherRequest {};
 };
 
-// Returns the relays for daemons of a failure domain, the preferred ones first: those with the broadest links, once all of
-// the domain's daemons state theirs. Where the domain has no member that can
-// be a relay, they are chosen from all domains. Linear in the members.
+// Returns the relays for daemons of a failure domain, the preferred ones first: those with the broadest links among the
+// daemons that state theirs, or, while there are too few of these, those that a hash of their names puts first. Where the
+// domain has no member that can be a relay, they are chosen from all domains. Linear in the members.
 std::vector<std::string> relaysForDomain(Fleet&, std::string_view failureDomain, const FeedLimits&);
 
+// Returns whether daemons of a release that knows no links, if there are any, follow this daemon: they choose by the hash
+// alone. Linear in the members.
+bool isRelayOfEarlierRelease(Fleet&, std::string_view failureDomain, const FeedLimits&);
+
 class StateFeed {
 public:
     // Serves followers at the TCP address. Throws SettingsError 111 for an invalid address, GatewayError 400 when it
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -61,26 +61,48 @@
 
 }
 
+namespace {
+
+    struct RelayCandidates {
+        // In the order of a hash of their names.
+        std::vector<std::string> names;
+        std::size_t relayCount { 0 };
+    };
+
+    RelayCandidates relayCandidates(Fleet& fleet, std::string_view failureDomain, const FeedLimits& limits)
+    {
+        std::vector<std::string> all = dispatchersFor(fleet, "relays");
+        std::vector<std::string> inDomain;
+        for (const std::string& name : all) {
+            if (fleet.members.at(name).failureDomain == failureDomain)
+                inDomain.push_back(name);
+        }
+        const auto membersInDomain = static_cast<std::size_t>(std::count_if(fleet.members.begin(), fleet.members.end(), [failureDomain](const auto& item) { return item.second.failureDomain == failureDomain; }));
+        return { inDomain.empty() ? std::move(all) : std::move(inDomain), std::max(limits.relaysFollowed, (membersInDomain + limits.daemonsPerRelay - 1) / limits.daemonsPerRelay) };
+    }
+
+}
+
 std::vector<std::string> relaysForDomain(Fleet& fleet, std::string_view failureDomain, const FeedLimits& limits)
 {
-    std::vector<std::string> inDomain;
-    std::vector<std::string> all = dispatchersFor(fleet, "relays");
-    std::size_t membersInDomain = 0;
-    for (const auto& [name, member] : fleet.members)
-        membersInDomain += member.failureDomain == failureDomain ? 1 : 0;
-    const std::size_t relayCount = std::max(limits.relaysFollowed, (membersInDomain + limits.daemonsPerRelay - 1) / limits.daemonsPerRelay);
-    for (const std::string& name : all) {
-        if (fleet.members.at(name).failureDomain == failureDomain)
-            inDomain.push_back(name);
-    }
-    std::vector<std::string>& selected = inDomain.empty() ? all : inDomain;
-    // While daemons that state no link are among them, all have to choose as those do.
-    const bool areLinksKnown = std::all_of(fleet.members.begin(), fleet.members.end(), [&](const auto& item) { return item.second.linkMbps > 0 || (!inDomain.empty() && item.second.failureDomain != failureDomain); });
-    if (areLinksKnown)
-        std::stable_sort(selected.begin(), selected.end(), [&fleet](const std::string& left, const std::string& right) { return fleet.members.at(left).linkMbps > fleet.members.at(right).linkMbps; });
-    if (selected.size() > relayCount)
-        selected.resize(relayCount);
-    return selected;
+    RelayCandidates candidates = relayCandidates(fleet, failureDomain, limits);
+    const auto linkOf = [&fleet](const std::string& name) { return fleet.members.at(name).linkMbps; };
+    std::vector<std::string> relays;
+    std::copy_if(candidates.names.begin(), candidates.names.end(), std::back_inserter(relays), [&linkOf](const std::string& name) { return linkOf(name) > 0; });
+    if (relays.size() < candidates.relayCount)
+        relays = std::move(candidates.names);
+    else
+        std::stable_sort(relays.begin(), relays.end(), [&linkOf](const std::string& left, const std::string& right) { return linkOf(left) > linkOf(right); });
+    relays.resize(std::min(relays.size(), candidates.relayCount));
+    return relays;
+}
+
+bool isRelayOfEarlierRelease(Fleet& fleet, std::string_view failureDomain, const FeedLimits& limits)
+{
+    const bool hasEarlierFollowers = std::any_of(fleet.members.begin(), fleet.members.end(), [](const auto& item) { return item.second.linkMbps <= 0; });
+    const RelayCandidates candidates = relayCandidates(fleet, failureDomain, limits);
+    const auto end = candidates.names.begin() + static_cast<std::ptrdiff_t>(std::min(candidates.names.size(), candidates.relayCount));
+    return hasEarlierFollowers && std::find(candidates.names.begin(), end, fleet.self) != end;
 }
 
 // A relay that this daemon follows.
@@ -294,7 +316,7 @@
         return;
     const std::vector<std::string> relays = relaysForDomain(this->fleet, this->failureDomain, this->limits);
     const TimePoint now = Clock::now();
-    this->isRelay = std::find(relays.begin(), relays.end(), this->fleet.self) != relays.end();
+    this->isRelay = std::find(relays.begin(), relays.end(), this->fleet.self) != relays.end() || isRelayOfEarlierRelease(this->fleet, this->failureDomain, this->limits);
     if (this->storeContactAge() > this->limits.maxContactAge)
         this->watchStoreUntil = now + this->limits.minDirectWatchTime;
     const bool watch = this->isRelay || now < this->watchStoreUntil;
