Send no request on an old connection while the direct path is in doubt

Cause: after a cut that hangs, requests went over open connections until a second target had shown the cut; one that must not repeat was lost with each. One target that is reached only through another daemon now keeps requests off older direct connections, until the next direct connection is established. The test fails without it.

--- a/packages/proxy/include/flamingowick/proxy/TargetConnections.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetConnections.h
@@ -138,6 +138,7 @@
 
     std::optional<TunnelMember> chooseMember(std::span<const std::string> tried) const { return this->callbacks.chooseMember(tried); }
     void onPathChange() const { this->callbacks.onPathChange(); }
+    bool isReusable(const TargetConnection&, bool idempotent) const;
 
     asio::io_context& context;
     HeaderNames headerNames;
--- a/packages/proxy/include/flamingowick/proxy/TargetPaths.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetPaths.h
@@ -45,6 +45,10 @@
 
 inline bool isCutOff(const TargetPaths& paths) noexcept { return paths.cutOffSince.has_value(); }
 
+// Whether a direct connection that was opened before may lead nowhere. The next direct connection that is established ends the
+// doubt; until then a request on an older one could be lost.
+inline bool areDirectConnectionsDoubtful(const TargetPaths& paths) noexcept { return isCutOff(paths) || !paths.faults.empty(); }
+
 // Chooses how to connect to a target now; while this daemon is cut off it also plans the next direct connection. Amortized
 // constant.
 ConnectPlan planConnection(TargetPaths&, const std::string& instance, TimePoint now);
--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -505,7 +505,7 @@
         while (!idle->second.empty() && !connection) {
             connection = idle->second.back();
             idle->second.pop_back();
-            if (!connection->isReusable(spec.idempotent)) {
+            if (!this->isReusable(*connection, spec.idempotent)) {
                 connection->close();
                 connection = nullptr;
             }
@@ -537,10 +537,16 @@
     check->start();
 }
 
+bool TargetConnections::isReusable(const TargetConnection& connection, bool idempotent) const
+{
+    const bool doubtful = connection.throughMember().empty() && areDirectConnectionsDoubtful(this->paths);
+    return !doubtful && connection.isReusable(idempotent);
+}
+
 bool TargetConnections::hasIdle(const std::string& instance, bool idempotent) const
 {
     const auto found = this->idleConnections.find(instance);
-    return found != this->idleConnections.end() && std::any_of(found->second.begin(), found->second.end(), [idempotent](const auto& connection) { return connection->isReusable(idempotent); });
+    return found != this->idleConnections.end() && std::any_of(found->second.begin(), found->second.end(), [this, idempotent](const auto& connection) { return this->isReusable(*connection, idempotent); });
 }
 
 void TargetConnections::closeIdle(const std::string& instance)
--- a/packages/proxy/tests/unit-cut-off.cpp
+++ b/packages/proxy/tests/unit-cut-off.cpp
@@ -220,3 +220,33 @@
     CHECK(testBed.runUntil([&] { return stopped; }));
     CHECK(Clock::now() - startedAt < milliseconds(3500));
 }
+
+// Guards against requests that are lost on connections of before a cut: once one target is reached only through others, a
+// request to another target goes over a new connection.
+TEST(CutOff, ARequestIsSentOnNoOldConnectionWhileTheDirectPathIsInDoubt)
+{
+    ScriptedTarget target(testBed.io, [](const HttpMessage& received) { return ScriptedTarget::healthyResponse(received); });
+    TargetPaths paths;
+    TargetConnections connections(testBed.io, testHeaders(), paths, { [](std::span<const std::string>) { return std::nullopt; }, [] { /* Not cut off. */ } });
+    const auto serve = [&] {
+        AttemptSpec spec;
+        spec.instance = "i-1";
+        spec.address = target.address();
+        spec.requestId = "r";
+        spec.requestBytes = makeRequest("r");
+        std::optional<AttemptResult> result;
+        connections.start(std::move(spec), [&](AttemptResult ended) { result = std::move(ended); });
+        CHECK(testBed.runUntil([&] { return result.has_value(); }));
+        CHECK(result->outcome == grants::AttemptOutcome::Succeeded);
+    };
+    serve();
+    serve();
+    CHECK_EQUAL(1U, target.connections);
+    recordPathFault(paths, "i-2", Clock::now());
+    CHECK_FALSE(connections.hasIdle("i-1", false));
+    serve();
+    CHECK_EQUAL(2U, target.connections);
+    CHECK(connections.hasIdle("i-1", false));
+    serve();
+    CHECK_EQUAL(2U, target.connections);
+}
