--- a/packages/proxy/src/TunnelServer.cpp
+++ b/packages/proxy/src/TunnelServer.cpp
@@ -14,8 +14,8 @@
     constexpr std::string_view unreachableReply = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
     // Shorter than the time that the other daemon waits, so that it learns of the failure.
     constexpr Duration connectTimeout { std::chrono::milliseconds(100) };
-    // Each takes two connections, of which the VM's process has about 4,000.
-    constexpr std::size_t maxTunnels = 512;
+    // Each takes two file descriptors; a process has about 4,000, of which callers take up to 3,000.
+    constexpr std::size_t maxTunnels = 256;
     constexpr std::size_t bufferBytes = 16U << 10U;
 
 }
