--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -45,8 +45,8 @@
     // Replaces the members of the fleet by the daemons that the store lists.
     void setMembers(std::span<const FleetMember>);
 
-    // Handles a request of another daemon for a connection to a target.
-    void handleTunnelRequest(const std::shared_ptr<CallerConnection>&);
+    // Handles a request of another daemon that doesn't concern the store's state. Returns false if it is of no known kind.
+    bool handlePeerRequest(const std::shared_ptr<CallerConnection>&);
 
     // Handles that a member did not answer a request for the store's state: it becomes suspected.
     void handleMemberSilent(const std::string& name);
--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -3,6 +3,7 @@
 #include "flamingowick/proxy/CallerServer.h"
 #include "flamingowick/proxy/Fleet.h"
 #include "flamingowick/proxy/HttpClient.h"
+#include "flamingowick/proxy/Relays.h"
 #include "flamingowick/proxy/StateCache.h"
 #include "flamingowick/telemetry/EventLog.h"
 #include "flamingowick/telemetry/Metrics.h"
@@ -39,10 +40,7 @@
     // Minimum time for which it then watches the store, so that an unstable relay doesn't make it switch back and
     // forth.
     Duration minDirectWatchTime { std::chrono::seconds(3) };
-    // Relays that each follower polls, and the number of daemons of a failure domain for which there is one relay; a
-    // domain has at least as many relays as a follower polls.
-    std::size_t relaysFollowed { 2 };
-    std::size_t daemonsPerRelay { 32 };
+    RelayLimits relays;
     // Delay between a response with changes and the next request, so that changes in quick succession are sent together.
     Duration changeBatchDelay { std::chrono::milliseconds(20) };
     // Delay before the first request to a second relay while this daemon has no targets yet, so that not both relays send
@@ -66,15 +64,6 @@
     std::function<bool(const std::shared_ptr<CallerConnection>&)> onOtherRequest {};
 };
 
-// Returns the relays for daemons of a failure domain, the preferred ones first: those with the broadest links among the
-// daemons that state theirs, or, while there are too few of these, those that a hash of their names puts first. Where the
-// domain has no member that can be a relay, they are chosen from all domains. Linear in the members.
-std::vector<std::string> relaysForDomain(Fleet&, std::string_view failureDomain, const FeedLimits&);
-
-// Returns whether daemons of a release that knows no links, if there are any, follow this daemon: they choose by the hash
-// alone. Linear in the members.
-bool isRelayOfEarlierRelease(Fleet&, std::string_view failureDomain, const FeedLimits&);
-
 class StateFeed {
 public:
     // Serves followers at the TCP address. Throws SettingsError 111 for an invalid address, GatewayError 400 when it
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -106,9 +106,12 @@
     this->scheduleLogFlush();
 }
 
-void Proxy::handleTunnelRequest(const std::shared_ptr<CallerConnection>& connection)
+bool Proxy::handlePeerRequest(const std::shared_ptr<CallerConnection>& connection)
 {
+    if (!TunnelServer::isTunnelRequest(connection->request()))
+        return false;
     this->tunnelServer->handleRequest(connection);
+    return true;
 }
 
 std::vector<std::string> Proxy::membersToRemove()
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -61,50 +61,6 @@
 
 }
 
-namespace {
-
-    struct RelayCandidates {
-        // In the order of a hash of their names.
-        std::vector<std::string> names;
-        std::size_t relayCount { 0 };
-    };
-
-    RelayCandidates relayCandidates(Fleet& fleet, std::string_view failureDomain, const FeedLimits& limits)
-    {
-        std::vector<std::string> all = dispatchersFor(fleet, "relays");
-        std::vector<std::string> inDomain;
-        for (const std::string& name : all) {
-            if (fleet.members.at(name).failureDomain == failureDomain)
-                inDomain.push_back(name);
-        }
-        const auto membersInDomain = static_cast<std::size_t>(std::count_if(fleet.members.begin(), fleet.members.end(), [failureDomain](const auto& item) { return item.second.failureDomain == failureDomain; }));
-        return { inDomain.empty() ? std::move(all) : std::move(inDomain), std::max(limits.relaysFollowed, (membersInDomain + limits.daemonsPerRelay - 1) / limits.daemonsPerRelay) };
-    }
-
-}
-
-std::vector<std::string> relaysForDomain(Fleet& fleet, std::string_view failureDomain, const FeedLimits& limits)
-{
-    RelayCandidates candidates = relayCandidates(fleet, failureDomain, limits);
-    const auto linkOf = [&fleet](const std::string& name) { return fleet.members.at(name).linkMbps; };
-    std::vector<std::string> relays;
-    std::copy_if(candidates.names.begin(), candidates.names.end(), std::back_inserter(relays), [&linkOf](const std::string& name) { return linkOf(name) > 0; });
-    if (relays.size() < candidates.relayCount)
-        relays = std::move(candidates.names);
-    else
-        std::stable_sort(relays.begin(), relays.end(), [&linkOf](const std::string& left, const std::string& right) { return linkOf(left) > linkOf(right); });
-    relays.resize(std::min(relays.size(), candidates.relayCount));
-    return relays;
-}
-
-bool isRelayOfEarlierRelease(Fleet& fleet, std::string_view failureDomain, const FeedLimits& limits)
-{
-    const bool hasEarlierFollowers = std::any_of(fleet.members.begin(), fleet.members.end(), [](const auto& item) { return item.second.linkMbps <= 0; });
-    const RelayCandidates candidates = relayCandidates(fleet, failureDomain, limits);
-    const auto end = candidates.names.begin() + static_cast<std::ptrdiff_t>(std::min(candidates.names.size(), candidates.relayCount));
-    return hasEarlierFollowers && std::find(candidates.names.begin(), end, fleet.self) != end;
-}
-
 // A relay that this daemon follows.
 struct StateFeed::FollowedRelay {
     FollowedRelay(asio::io_context& io, std::string memberName, const std::string& address)
@@ -314,9 +270,9 @@
 {
     if (this->stopped)
         return;
-    const std::vector<std::string> relays = relaysForDomain(this->fleet, this->failureDomain, this->limits);
+    const std::vector<std::string> relays = relaysForDomain(this->fleet, this->failureDomain, this->limits.relays);
     const TimePoint now = Clock::now();
-    this->isRelay = std::find(relays.begin(), relays.end(), this->fleet.self) != relays.end() || isRelayOfEarlierRelease(this->fleet, this->failureDomain, this->limits);
+    this->isRelay = std::find(relays.begin(), relays.end(), this->fleet.self) != relays.end() || isRelayOfEarlierRelease(this->fleet, this->failureDomain, this->limits.relays);
     if (this->storeContactAge() > this->limits.maxContactAge)
         this->watchStoreUntil = now + this->limits.minDirectWatchTime;
     const bool watch = this->isRelay || now < this->watchStoreUntil;
@@ -325,8 +281,8 @@
     if (!this->isRelay) {
         for (const std::size_t index : rendezvousOrder(this->fleet.self, relays))
             toFollow.push_back(relays[index]);
-        if (toFollow.size() > this->limits.relaysFollowed)
-            toFollow.resize(this->limits.relaysFollowed);
+        if (toFollow.size() > this->limits.relays.followed)
+            toFollow.resize(this->limits.relays.followed);
     }
     std::erase_if(this->followedRelays, [&toFollow](const std::shared_ptr<FollowedRelay>& relay) {
         relay->dropped = std::find(toFollow.begin(), toFollow.end(), relay->name) == toFollow.end();
--- /dev/null
+++ b/packages/proxy/tests/unit-relays.cpp
@@ -0,0 +1,81 @@
+#include "flamingowick/proxy/Relays.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace flamingowick;
+using namespace flamingowick::proxy;
+
+TEST_GROUP(Relays)
+{
+    Fleet fleet;
+    std::vector<double> links = std::vector<double>(44, 10);
+
+    // Makes members of one failure domain that have these links, in Mbit/s; 0 for a daemon of an earlier release.
+    void setLinks()
+    {
+        std::vector<FleetMember> members;
+        for (std::size_t index = 0; index < links.size(); ++index)
+            members.push_back({ "vm-" + std::to_string(index), "127.0.0.1:" + std::to_string(index + 1), "a", links[index] });
+        setMembers(fleet, members, Clock::now());
+    }
+
+    std::vector<std::string> relays()
+    {
+        std::vector<std::string> names = relaysForDomain(fleet, "a", {});
+        std::sort(names.begin(), names.end());
+        return names;
+    }
+
+    // Returns the daemons that count themselves as relays of an earlier release's followers.
+    std::vector<std::string> relaysOfEarlierRelease()
+    {
+        std::vector<std::string> names;
+        for (std::size_t index = 0; index < links.size(); ++index) {
+            fleet.self = "vm-" + std::to_string(index);
+            if (isRelayOfEarlierRelease(fleet, "a", {}))
+                names.push_back(fleet.self);
+        }
+        std::sort(names.begin(), names.end());
+        return names;
+    }
+};
+
+// Guards against a large configuration that waits for the narrow links of relays while others of the domain are broad.
+TEST(Relays, AreTheDaemonsWithTheBroadestLinks)
+{
+    links[17] = 200;
+    links[31] = 200;
+    setLinks();
+    CHECK(relays() == (std::vector<std::string> { "vm-17", "vm-31" }));
+    CHECK(relaysOfEarlierRelease().empty());
+}
+
+// While VMs are replaced one after the other, daemons of an earlier release follow those that they choose, which have to
+// watch the store.
+TEST(Relays, ServeTheDaemonsOfAnEarlierReleaseToo)
+{
+    std::vector<double> known = links;
+    links.assign(links.size(), 0);
+    setLinks();
+    const std::vector<std::string> chosenEarlier = relays();
+    CHECK(relaysOfEarlierRelease() == chosenEarlier);
+    links = known;
+    links[17] = 200;
+    links[31] = 200;
+    links[40] = 0;
+    setLinks();
+    CHECK(relays() == (std::vector<std::string> { "vm-17", "vm-31" }));
+    CHECK(relaysOfEarlierRelease() == chosenEarlier);
+}
+
+TEST(Relays, AreChosenAsInAnEarlierReleaseWhileTooFewDaemonsStateTheirLinks)
+{
+    links.assign(links.size(), 0);
+    setLinks();
+    const std::vector<std::string> chosenEarlier = relays();
+    links[17] = 200;
+    setLinks();
+    CHECK(relays() == chosenEarlier);
+}
