--- a/packages/proxy/include/flamingowick/proxy/HttpClient.h
+++ b/packages/proxy/include/flamingowick/proxy/HttpClient.h
@@ -32,8 +32,8 @@
     std::string body;
     // From the start of the call to its complete response.
     Duration timeout { std::chrono::seconds(1) };
-    // Time by which each part of the response that arrives extends that, so that a large response over a slow link isn't thrown
-    // away and requested again. Zero if only the timeout counts.
+    // Each part of the response that arrives moves the end of the timeout to at least this long after it, so that a large response
+    // over a slow link isn't thrown away and requested again. Zero for none.
     Duration extension { 0 };
 };
 
