--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -175,7 +175,7 @@
 void ActiveRequest::reportAttemptEnd(const Attempt& attempt, AttemptOutcome outcome, Duration duration)
 {
     const grants::AttemptId attemptId { this->context.incarnation, attempt.number };
-    // While this daemon is cut off, attempts on connections of before fail for that reason, which says nothing of their targets.
+    // Attempts that began before this daemon was cut off fail for that reason, which says nothing of their targets.
     const bool mayBePathFault = outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::ConnectionBroken;
     if (mayBePathFault && isCutOff(this->context.paths) && attempt.startedAt < *this->context.paths.cutOffSince)
         outcome = AttemptOutcome::Abandoned;
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -100,7 +100,7 @@
     const bool cutOff = isCutOff(this->paths);
     this->log.write(EventScope::Process, "paths", cutOff ? "cut-off" : "restored", EventFields().number("idleConnections", static_cast<std::int64_t>(this->links->idleConnectionCount())));
     this->metrics.setGauge("flamingowick_cut_off", {}, cutOff ? 1 : 0);
-    // Requests on connections of before the cut would hang.
+    // Requests on connections that were opened before the cut would hang.
     if (cutOff)
         this->links->closeIdleThrough({});
     this->scheduleLogFlush();
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -39,7 +39,7 @@
     constexpr std::size_t minCompressedBytes = 4U << 10U;
     // Most bytes of a kind once it is restored.
     constexpr std::size_t maxKindBytes = 16U << 20U;
-    // Configurations that are kept as bases: a follower is rarely further behind, and gets it without a base then.
+    // Configurations that are kept as bases. A follower that is further behind, which is rare, gets one compressed by itself.
     constexpr std::size_t maxRecentConfigurations = 3;
 
     wire::KindState deltaOf(const KindCache& cache, StateKind kind, std::uint64_t seenRevision)
--- a/packages/proxy/tests/unit-cut-off.cpp
+++ b/packages/proxy/tests/unit-cut-off.cpp
@@ -221,7 +221,7 @@
     CHECK(Clock::now() - startedAt < milliseconds(3500));
 }
 
-// Guards against requests that are lost on connections of before a cut: once one target is reached only through others, a
+// Guards against requests that are lost on connections that were opened before a cut: once one target is reached only through others, a
 // request to another target goes over a new connection.
 TEST(CutOff, ARequestIsSentOnNoOldConnectionWhileTheDirectPathIsInDoubt)
 {
