Let an idempotent request wait for a retry token, and tell dispatchers what a hedge is

Change: a grant request says whether another attempt is in flight. A hedge that is refused after that attempt has failed is requested again as a retry. A request that would end with the failure of an earlier attempt asks again for a token every 200 ms. An older dispatcher ignores the new field; one that gets a hedge without it queues the hedge, which its entry cancels.

--- a/packages/grants/include/flamingowick/grants/TargetPool.h
+++ b/packages/grants/include/flamingowick/grants/TargetPool.h
@@ -63,6 +63,8 @@
     bool largeResponse { false };
     // The attempt is not the request's first: a retry or a hedge.
     bool isRetry { false };
+    // Another attempt of the request is in flight and may still answer, so that this one isn't queued.
+    bool isHedge { false };
     // The request adds to the retry budget. An entry sets this in one message for each of its caller's requests, however
     // many dispatchers and groups it asks.
     bool earnsRetryCredit { false };
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -530,6 +530,10 @@
             this->requestGrant(true);
         }
     }
+    if (this->nextRetryAt && now >= *this->nextRetryAt) {
+        this->nextRetryAt.reset();
+        this->retryOrRespond();
+    }
     if (!this->completed)
         this->scheduleTimer();
 }
@@ -541,6 +545,8 @@
         due = std::min(due, this->pendingGrant->dueAt);
     if (this->nextHedgeAt)
         due = std::min(due, *this->nextHedgeAt);
+    if (this->nextRetryAt)
+        due = std::min(due, *this->nextRetryAt);
     if (this->timer.expiry() == due)
         return;
     this->timer.expires_at(due);
--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -46,6 +46,8 @@
         // How often the current dispatcher was sent the request without a reply.
         unsigned sendCount { 0 };
         bool isRetry { false };
+        // Another attempt was in flight when the grant request was last sent, so that no dispatcher queued it.
+        bool isHedge { false };
         // The dispatcher has the request in its queue.
         bool queued { false };
         // When the request is sent again, or goes to the next dispatcher.
@@ -177,6 +179,8 @@
     std::optional<HttpMessage> failureResponse;
     // When the next hedge is requested, unless a grant request is pending at that time.
     std::optional<TimePoint> nextHedgeAt;
+    // When a retry is requested again for which the budget had no token.
+    std::optional<TimePoint> nextRetryAt;
     // Attempts sent, without those that reached no target.
     unsigned sentCount { 0 };
     // A grant request with this request's credit for the retry budget was sent, though it may have been lost.
--- a/packages/proxy/src/ActiveRequestGrants.cpp
+++ b/packages/proxy/src/ActiveRequestGrants.cpp
@@ -26,6 +26,8 @@
     constexpr Duration grantCheckInterval { milliseconds(250) };
     // Delay before a hedge that was refused is requested again.
     constexpr Duration hedgeRetryDelay { milliseconds(60) };
+    // Delay before a retry for which the budget had no token is requested again.
+    constexpr Duration retryTokenDelay { milliseconds(200) };
     // Instances with an idle connection that a grant request lists at most; it must fit into one datagram.
     constexpr std::size_t maxIdleInstancesSent = 12;
     constexpr std::size_t maxUnusableInstancesSent = 16;
@@ -130,6 +132,8 @@
     request.priority = this->priority;
     request.organisation = this->organisation.empty() ? 0 : stableHash(this->organisation);
     request.isRetry = this->pendingGrant->isRetry;
+    this->pendingGrant->isHedge = !this->attempts.empty();
+    request.isHedge = this->pendingGrant->isHedge;
     request.earnsRetryCredit = !this->retryCreditSent;
     this->retryCreditSent = true;
     request.idempotent = this->route.idempotent;
@@ -278,6 +282,7 @@
 {
     const std::string group = this->pendingGrant->group;
     const bool isRetry = this->pendingGrant->isRetry;
+    const bool wasHedge = this->pendingGrant->isHedge;
     this->entry.pendingGrantRequests.erase(this->pendingGrant->number);
     this->pendingGrant.reset();
     this->lastRetryAfter = decision.retryAfter;
@@ -300,7 +305,17 @@
     }
     // An attempt in flight may still succeed; if it does not, a slot for a hedge may be free a little later.
     if (!this->attempts.empty()) {
-        this->nextHedgeAt = Clock::now() + hedgeRetryDelay;
+        this->nextHedgeAt = Clock::now() + (decision.reason == grants::RefusalReason::RetryBudgetExhausted ? retryTokenDelay : hedgeRetryDelay);
+        return;
+    }
+    // The attempt beside which the hedge was requested has failed meanwhile. A retry may wait for a slot.
+    if (wasHedge && decision.reason == grants::RefusalReason::NoSlotInTime && this->mayRetry()) {
+        this->requestGrant(isRetry);
+        return;
+    }
+    // The caller would get the failure of an earlier attempt. Tokens are deposited all the time, so that a retry may still serve it.
+    if (decision.reason == grants::RefusalReason::RetryBudgetExhausted && this->mayHaveExecuted && this->mayRetry()) {
+        this->nextRetryAt = Clock::now() + retryTokenDelay;
         return;
     }
     this->refusedGroups.push_back(group);
--- a/packages/proxy/src/PeerLink.cpp
+++ b/packages/proxy/src/PeerLink.cpp
@@ -46,6 +46,7 @@
         request.requestId = wireRequest.request();
         request.priority = wireRequest.rank();
         request.isRetry = wireRequest.repeat();
+        request.isHedge = wireRequest.hedge();
         request.earnsRetryCredit = wireRequest.earns_retry_credit();
         request.idempotent = wireRequest.idempotent();
         request.workload = wireRequest.workload();
@@ -122,6 +123,7 @@
     wireRequest.set_organisation(message.request.organisation);
     wireRequest.set_large_response(message.request.largeResponse);
     wireRequest.set_repeat(message.request.isRetry);
+    wireRequest.set_hedge(message.request.isHedge);
     wireRequest.set_earns_retry_credit(message.request.earnsRetryCredit);
     wireRequest.set_idempotent(message.request.idempotent);
     wireRequest.set_workload(static_cast<std::uint32_t>(message.request.workload));
--- a/packages/proxy/tests/unit-retry-credit.cpp
+++ b/packages/proxy/tests/unit-retry-credit.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include "ProxyTestBed.h"
 
 using namespace flamingowick;
@@ -64,3 +66,34 @@
     CHECK(testBed.proxies.at(other)->dispatcherHost().pools().contains(group));
     CHECK(testBed.runUntil([&] { return tokensAt(other) == 0; }));
 }
+
+// Guards against callers getting a target's error, with seconds left, because the budget has no token at that moment.
+TEST(RetryCredit, IsWaitedForByARequestThatMayRunAgain)
+{
+    // Each request fails at the first target that it reaches.
+    std::set<std::string> failedOnce;
+    const auto failFirstAttempt = [&failedOnce](const HttpMessage& received) -> std::optional<std::string> {
+        if (failedOnce.insert(std::string(headerValue(received, "X-Id"))).second)
+            return "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+        return ScriptedTarget::healthyResponse(received);
+    };
+    for (int index = 0; index < 6; ++index)
+        testBed.addTarget(failFirstAttempt);
+    testBed.start(1, true);
+    auto first = testBed.connectCaller(0);
+    first->send(makeRequest("takes-the-token"));
+    CHECK(testBed.runUntil([&] { return !first->responses.empty(); }));
+    auto waiting = testBed.connectCaller(0);
+    waiting->send(makeRequest("waits"));
+    CHECK(testBed.runUntil([&] { return failedOnce.contains("waits"); }));
+    CHECK(waiting->responses.empty());
+    for (int request = 0; request < 12 && waiting->responses.empty(); ++request) {
+        const std::string id = "earns-credit-" + std::to_string(request);
+        failedOnce.insert(id);
+        auto caller = testBed.connectCaller(0);
+        caller->send(makeRequest(id));
+        CHECK(testBed.runUntil([&] { return !caller->responses.empty(); }));
+    }
+    CHECK(testBed.runUntil([&] { return !waiting->responses.empty(); }));
+    CHECK_EQUAL(200, waiting->responses.front().status);
+}
