Answer the requests that wait before a stopping daemon's grace ends

Cause: a request that waits for a retry token or a slot up to its deadline may wait longer than the grace of a daemon that stops, and was then cut off, though the failure of its attempt was known.

Change: 500 ms before the grace ends, requests without an attempt in flight are answered with that failure, or with 503 if they haven't run. The entry's two loops over its active requests share one copy of them.

IsNotWaitedForBeyondTheGraceOfAStop shows it.

--- a/packages/proxy/include/flamingowick/proxy/Entry.h
+++ b/packages/proxy/include/flamingowick/proxy/Entry.h
@@ -87,6 +87,10 @@
     // the active requests.
     void handleConfigurationChange();
 
+    // Responds to the requests that wait for a slot or a token, because the daemon ends before they can be served. Linear in the
+    // active requests.
+    void endWaits();
+
     // Handles the end of the wait for a token of an organisation's allotment.
     void handleAllotmentDecision(std::uint64_t request, const AllotmentDecision&);
 
@@ -120,6 +124,8 @@
     void refuseCaller(CallerExchange&, std::string_view id, const Route&, KeyVerdict);
     // Returns the index of the part of a split route that gets the next request.
     std::size_t chooseSplitPart(const Route&);
+    // Returns the active requests, which remove themselves from the map when they respond.
+    std::vector<std::shared_ptr<ActiveRequest>> copyActiveRequests() const;
 
     EntryContext& context;
     std::unordered_map<const ActiveRequest*, std::shared_ptr<ActiveRequest>> activeRequests;
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -510,6 +510,15 @@
         this->respondWithError(503, "deadline", this->lastRetryAfter);
 }
 
+void ActiveRequest::endWait()
+{
+    if (this->completed || !this->attempts.empty())
+        return;
+    if (!this->mayHaveExecuted)
+        this->lastFailureReason = "stopping";
+    this->respondWithFailure(milliseconds(0));
+}
+
 void ActiveRequest::onTimer()
 {
     if (this->completed)
--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -30,6 +30,9 @@
     // Handles the reply to the pending grant request; ignores replies to earlier ones.
     void handleGrantReply(const std::string& dispatcher, const GrantReplyMessage&);
 
+    // Responds if no attempt is in flight: with the failure of the last one, or that the request has not run.
+    void endWait();
+
     // Appends the attempts that are in flight in the group, or in all groups when the group is empty.
     void appendRunningAttempts(std::string_view group, std::vector<RunningAttemptMessage>&) const;
 
--- a/packages/proxy/src/Entry.cpp
+++ b/packages/proxy/src/Entry.cpp
@@ -112,16 +112,27 @@
     respondPlain(caller, stale ? 503 : 401, toString(verdict), std::move(headers));
 }
 
-void Entry::handleConfigurationChange()
+std::vector<std::shared_ptr<ActiveRequest>> Entry::copyActiveRequests() const
 {
-    // Responding removes a request.
     std::vector<std::shared_ptr<ActiveRequest>> requests;
+    requests.reserve(this->activeRequests.size());
     for (const auto& [key, active] : this->activeRequests)
         requests.push_back(active);
-    for (const std::shared_ptr<ActiveRequest>& active : requests)
+    return requests;
+}
+
+void Entry::handleConfigurationChange()
+{
+    for (const std::shared_ptr<ActiveRequest>& active : this->copyActiveRequests())
         active->handleConfigurationChange();
 }
 
+void Entry::endWaits()
+{
+    for (const std::shared_ptr<ActiveRequest>& active : this->copyActiveRequests())
+        active->endWait();
+}
+
 void Entry::handleAllotmentDecision(std::uint64_t request, const AllotmentDecision& decision)
 {
     const auto waiting = this->waitingForTokens.find(request);
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -23,6 +23,8 @@
     // Time that is left for an orderly exit before the platform kills the process.
     constexpr Duration stopMargin { milliseconds(150) };
     constexpr Duration stopCheckInterval { milliseconds(100) };
+    // Time before the end of the grace at which requests without an attempt in flight are answered, for the responses to be sent.
+    constexpr Duration waitEndMargin { milliseconds(500) };
     // Leaves file descriptors for targets, peers and the store.
     constexpr unsigned maxCallerConnections = 3000;
     constexpr unsigned maxMonitoringConnections = 32;
@@ -599,6 +601,8 @@
     const bool idle = this->entry->activeRequestCount() == 0 && this->callerServer->servingCount() == 0 && this->tunnelServer->openTunnels() == 0;
     if (passed >= acceptDurationWhileStopping)
         this->callerServer->closeIdle();
+    if (passed >= this->settings.stopGrace - waitEndMargin)
+        this->entry->endWaits();
     if ((idle && passed >= minStopDuration) || passed >= this->settings.stopGrace - stopMargin) {
         this->log.write(EventScope::Process, "daemon", "stopped", EventFields().number("running", static_cast<std::int64_t>(this->entry->activeRequestCount())).milliseconds("tookMs", passed));
         this->log.flush();
--- a/packages/proxy/tests/unit-retry-credit.cpp
+++ b/packages/proxy/tests/unit-retry-credit.cpp
@@ -97,3 +97,26 @@
     CHECK(testBed.runUntil([&] { return !waiting->responses.empty(); }));
     CHECK_EQUAL(200, waiting->responses.front().status);
 }
+
+// Guards against a daemon that stops cutting off a caller although the failure of its first attempt is known.
+TEST(RetryCredit, IsNotWaitedForBeyondTheGraceOfAStop)
+{
+    for (int index = 0; index < 6; ++index)
+        testBed.addTarget([](const HttpMessage&) { return "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"; });
+    testBed.start(1, true, seconds(10));
+    ProxySettings settings = testBed.settings.front();
+    settings.stopGrace = seconds(3);
+    testBed.proxies.front()->reload(settings);
+    auto first = testBed.connectCaller(0);
+    first->send(makeRequest("takes-the-token"));
+    CHECK(testBed.runUntil([&] { return !first->responses.empty(); }));
+    auto caller = testBed.connectCaller(0);
+    caller->send(makeRequest("waits", "GET", {}, "10000"));
+    testBed.runFor(milliseconds(300));
+    CHECK(caller->responses.empty());
+    bool stopped = false;
+    testBed.proxies.front()->beginStop([&] { stopped = true; });
+    CHECK(testBed.runUntil([&] { return stopped; }));
+    CHECK_EQUAL(1, caller->responses.size());
+    CHECK_EQUAL(500, caller->responses.front().status);
+}
