State the end of a target's connection through another daemon

Cause: a response without a length ends with its connection. A tunnel passed plain bytes on and closed when the target closed, so that the end of a killed or stopped daemon looked like the end of the response. Change: a tunnel frames what the target sends and states its end by an empty frame; without it the attempt has failed. A stopping daemon resets its open tunnels. The check whether a target is alive reads frames. Daemons of earlier releases take the plain protocol; through them only responses with a length are served. Without the fix AResponseWithoutALengthIsNoSuccessIfTheDaemonOnItsWayEnds, the same with Stops, OnlyResponsesWithALengthAreServedThroughADaemonOfAnEarlierRelease and ADaemonOfAnEarlierReleaseGetsTheBytesAsTheyAre fail.

--- a/packages/proxy/include/flamingowick/proxy/TunnelServer.h
+++ b/packages/proxy/include/flamingowick/proxy/TunnelServer.h
@@ -12,11 +12,15 @@
 
 // Connects other daemons, which are cut off from the targets, to targets. Such a daemon sends a request to upgrade a
 // connection that names the target's instance; once this daemon has connected to the target, bytes pass in both directions
-// until either side ends its connection.
+// until either side ends its connection. What the target sends is framed where both daemons know frames, so that its end can
+// be told from that of this daemon.
 namespace flamingowick::proxy {
 
 enum class TunnelReply : std::uint8_t {
+    // What the target sends arrives in frames.
     Established,
+    // It arrives as it is, from a daemon of an earlier release.
+    EstablishedPlain,
     // The daemon could not connect to the target, or doesn't know it.
     TargetUnreachable,
     // The daemon is cut off itself, is short of connections, or is of a release without tunnels.
--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -2,6 +2,8 @@
 
 #include "TargetConnector.h"
 
+#include "flamingowick/proxy/TunnelFrames.h"
+
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 
@@ -183,6 +185,8 @@
             }
             self->socket = std::move(result.socket);
             self->member = std::move(result.member);
+            if (result.framed)
+                self->frames.emplace();
             self->send();
         });
     }
@@ -220,40 +224,61 @@
             return;
         }
         if (error) {
-            if (error == asio::error::eof)
-                this->reader.finishStream();
-            this->mustClose = true;
-            if (this->reader.state() == ReadState::Complete)
-                this->completeAttempt();
+            // A daemon that passes the target's bytes on states the end of the target's connection; the end of its own says
+            // nothing of the response.
+            if (!this->member.empty())
+                this->handleEnd(false, error == asio::error::eof ? "member-closed" : "member-reset");
             else
-                this->failAttempt(grants::AttemptOutcome::ConnectionBroken, error == asio::error::eof ? "closed" : "reset");
+                this->handleEnd(error == asio::error::eof, error == asio::error::eof ? "closed" : "reset");
             return;
         }
         this->lastReadAt = Clock::now();
-        this->parseResponse(std::string_view(this->inputBuffer).substr(0, size));
+        const std::size_t contentSize = this->frames ? this->frames->extractContent({ this->inputBuffer.data(), size }) : size;
+        const bool hasEnded = this->frames && this->frames->hasEnded();
+        this->mustClose = this->mustClose || hasEnded;
+        if (!this->parseResponse(std::string_view(this->inputBuffer).substr(0, contentSize)))
+            return;
+        if (hasEnded)
+            this->handleEnd(true, "closed");
+        else
+            this->read();
     }
 
-    void parseResponse(std::string_view bytes)
+    // Ends the attempt with its connection. A response without a length is complete only when the target has ended the
+    // connection cleanly.
+    void handleEnd(bool isCleanEndOfTarget, std::string_view reason)
+    {
+        if (isCleanEndOfTarget)
+            this->reader.finishStream();
+        this->mustClose = true;
+        if (this->reader.state() == ReadState::Complete)
+            this->completeAttempt();
+        else
+            this->failAttempt(grants::AttemptOutcome::ConnectionBroken, reason);
+    }
+
+    // Returns whether the attempt goes on, since its response isn't complete yet.
+    bool parseResponse(std::string_view bytes)
     {
         while (!bytes.empty()) {
             bytes.remove_prefix(this->reader.parse(bytes));
             this->countHeldBytes(this->reader.heldBytes());
             if (this->owner.responseBytes > TargetConnections::maxHeldResponseBytes) {
                 this->failAttempt(grants::AttemptOutcome::ConnectionBroken, "responses-too-large");
-                return;
+                return false;
             }
             if (this->reader.state() == ReadState::Incomplete)
                 break;
             if (this->reader.state() != ReadState::Complete) {
                 this->mustClose = true;
                 this->failAttempt(grants::AttemptOutcome::ConnectionBroken, "not-http");
-                return;
+                return false;
             }
             if (this->isInterimOrStale()) {
                 this->mustClose = true;
                 if (++this->ignoredResponses > maxIgnoredResponses) {
                     this->failAttempt(grants::AttemptOutcome::ConnectionBroken, "too-many-responses");
-                    return;
+                    return false;
                 }
                 this->reader.restart(this->spec.responseLimits, this->spec.isHeadRequest);
                 continue;
@@ -262,9 +287,9 @@
             if (!bytes.empty())
                 this->mustClose = true;
             this->completeAttempt();
-            return;
+            return false;
         }
-        this->read();
+        return true;
     }
 
     // Whether the response is an interim one (1xx) or carries another request's ID, such as a late response to an
@@ -368,6 +393,8 @@
     // Set while the connection is being established.
     std::shared_ptr<TargetConnector> connector;
     std::string member;
+    // Set if the member passes on in frames what the target sends.
+    std::optional<TunnelFrameReader> frames;
     MessageReader reader;
     std::string inputBuffer;
     AttemptSpec spec;
@@ -415,6 +442,9 @@
                 return;
             }
             self->socket = std::move(result.socket);
+            self->frames.reset();
+            if (result.framed)
+                self->frames.emplace();
             self->awaitEnd();
         });
     }
@@ -434,13 +464,21 @@
     void awaitEnd()
     {
         this->finishAfter(livenessHoldTime, true);
-        this->socket.async_read_some(asio::buffer(this->inputBuffer), [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
+        this->read();
+    }
+
+    void read()
+    {
+        this->socket.async_read_some(asio::buffer(this->inputBuffer), [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
             if (!self->handler)
                 return;
-            if (!error)
+            const std::size_t contentSize = !error && self->frames ? self->frames->extractContent({ self->inputBuffer.data(), size }) : size;
+            if (error || (self->frames && self->frames->hasEnded()))
+                self->handleEnd();
+            else if (contentSize > 0)
                 self->finish(true);
             else
-                self->handleEnd();
+                self->read();
         });
     }
 
@@ -488,7 +526,9 @@
     std::shared_ptr<TargetConnector> connector;
     Timer timer;
     std::function<void(bool)> handler;
-    std::array<char, 1> inputBuffer {};
+    // Set if the target is connected through a member that passes on in frames what it sends.
+    std::optional<TunnelFrameReader> frames;
+    std::array<char, tunnelFrameHeaderBytes + 1> inputBuffer {};
     unsigned endedConnections { 0 };
 };
 
--- a/packages/proxy/src/TargetConnector.cpp
+++ b/packages/proxy/src/TargetConnector.cpp
@@ -151,8 +151,9 @@
 void TargetConnector::handleTunnelReply(const asio::error_code& error)
 {
     const TunnelReply outcome = error ? TunnelReply::Unusable : parseTunnelReply(this->reply);
+    const bool isEstablished = outcome == TunnelReply::Established || outcome == TunnelReply::EstablishedPlain;
     // A target sends nothing before a request, so that more bytes than the reply belong to no response.
-    if (outcome != TunnelReply::Established || this->reply.find(endOfHeader) + endOfHeader.size() != this->reply.size()) {
+    if (!isEstablished || this->reply.find(endOfHeader) + endOfHeader.size() != this->reply.size()) {
         this->handleMemberFailure(outcome == TunnelReply::TargetUnreachable);
         return;
     }
@@ -160,7 +161,7 @@
         recordUnusableMember(this->owner.paths, name, Clock::now());
     if (recordPathFault(this->owner.paths, this->instance, Clock::now()))
         this->owner.onPathChange();
-    this->finish({ std::move(this->memberSocket), this->triedMembers.back(), {} });
+    this->finish({ std::move(this->memberSocket), this->triedMembers.back(), {}, outcome == TunnelReply::Established });
 }
 
 void TargetConnector::handleMemberFailure(bool isTargetUnreachable)
--- a/packages/proxy/src/TargetConnector.h
+++ b/packages/proxy/src/TargetConnector.h
@@ -19,6 +19,8 @@
     std::string member;
     // Why there is no connection, for logs; empty otherwise.
     std::string_view failure;
+    // The member passes on in frames what the target sends.
+    bool framed { false };
 };
 
 // Opens one connection to a target: directly, through another daemon, or by whichever of the two is established first.
--- a/packages/proxy/tests/unit-cut-off.cpp
+++ b/packages/proxy/tests/unit-cut-off.cpp
@@ -1,5 +1,12 @@
 #include "ProxyTestBed.h"
 
+#include "flamingowick/proxy/TunnelFrames.h"
+#include "flamingowick/proxy/TunnelServer.h"
+
+#include <asio/read_until.hpp>
+
+#include <numeric>
+
 using namespace flamingowick;
 using namespace flamingowick::proxy;
 
@@ -28,6 +35,95 @@
     std::vector<asio::ip::tcp::socket> waiting;
 };
 
+// Passes the bytes of one connection on to another address and back, and can end both connections as the kernel ends those of a
+// killed process.
+class Forwarder {
+public:
+    Forwarder(asio::io_context& io, const std::string& listenAddress, const std::string& onwardAddress)
+        : acceptor(io, parseTcpEndpoint(listenAddress))
+        , near(io)
+        , far(io)
+    {
+        this->acceptor.async_accept(this->near, [this, onwardAddress](const asio::error_code& error) {
+            if (error)
+                return;
+            this->far.connect(parseTcpEndpoint(onwardAddress));
+            this->pass(this->near, this->far, this->forth);
+            this->pass(this->far, this->near, this->back);
+        });
+    }
+
+    void kill()
+    {
+        this->near.close();
+        this->far.close();
+    }
+
+private:
+    void pass(asio::ip::tcp::socket& from, asio::ip::tcp::socket& to, std::array<char, 4096>& buffer)
+    {
+        from.async_read_some(asio::buffer(buffer), [this, &from, &to, &buffer](const asio::error_code& error, std::size_t size) {
+            if (error == asio::error::operation_aborted)
+                return;
+            if (error) {
+                this->kill();
+                return;
+            }
+            asio::write(to, asio::buffer(buffer, size));
+            this->pass(from, to, buffer);
+        });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket near;
+    asio::ip::tcp::socket far;
+    std::array<char, 4096> forth {};
+    std::array<char, 4096> back {};
+};
+
+// A daemon of a release that passes the target's bytes on as they are: serves one connection and ends it after the bytes.
+class PlainMember {
+public:
+    PlainMember(asio::io_context& io, const std::string& address, std::function<std::string(const HttpMessage&)> respond)
+        : acceptor(io, parseTcpEndpoint(address))
+        , socket(io)
+    {
+        this->acceptor.async_accept(this->socket, [this, respond](const asio::error_code& error) {
+            if (error)
+                return;
+            this->readRequest([this, respond](const HttpMessage&) {
+                asio::write(this->socket, asio::buffer(std::string("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: flamingowick-tunnel\r\n\r\n")));
+                this->readRequest([this, respond](const HttpMessage& request) {
+                    asio::write(this->socket, asio::buffer(respond(request)));
+                    this->socket.close();
+                });
+            });
+        });
+    }
+
+private:
+    void readRequest(std::function<void(const HttpMessage&)> handler)
+    {
+        this->socket.async_read_some(asio::buffer(this->buffer), [this, handler = std::move(handler)](const asio::error_code& error, std::size_t size) {
+            if (error)
+                return;
+            this->reader.restart({});
+            this->reader.parse({ this->buffer.data(), size });
+            handler(this->reader.message());
+        });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket socket;
+    std::array<char, 4096> buffer {};
+    MessageReader reader { MessageReader::Kind::Requests, {} };
+};
+
+std::string headerWithoutLength(const HttpMessage& request)
+{
+    return "HTTP/1.1 200 OK\r\nX-Id: " + std::string(headerValue(request, "X-Id")) + "\r\nX-Signature: s\r\n\r\n";
+}
+
 }
 
 TEST_GROUP(CutOff)
@@ -191,6 +287,107 @@
     CHECK_EQUAL(502, caller->responses.front().status);
 }
 
+// Guards against a response that reaches the caller cut short and framed as complete: it has no length, and the daemon through which it
+// came was killed.
+TEST(CutOff, AResponseWithoutALengthIsNoSuccessIfTheDaemonOnItsWayEnds)
+{
+    ScriptedTarget& target = testBed.addTarget([](const HttpMessage& received) { return headerWithoutLength(received) + "part"; });
+    testBed.start(2, false);
+    cutOff(0, freeAddress);
+    testBed.peerServers.pop_back();
+    const std::string movedAddress = freeAddress();
+    testBed.peerServers.push_back(std::make_unique<CallerServer>(testBed.io, movedAddress, 8, CallerServerHandlers { [] { return CallerLimits {}; }, [this](const std::shared_ptr<CallerExchange>& connection) { testBed.proxies[1]->handlePeerRequest(connection); } }));
+    Forwarder forwarder(testBed.io, testBed.settings[1].peerAddress, movedAddress);
+    auto caller = testBed.connectCaller(0);
+    caller->send(makeRequest("r", "POST", "body"));
+    CHECK(testBed.runUntil([&] { return !target.requests.empty(); }));
+    testBed.runFor(milliseconds(50));
+    forwarder.kill();
+    CHECK(testBed.runUntil([&] { return !caller->responses.empty() || caller->ended; }));
+    CHECK_EQUAL(502, caller->responses.front().status);
+}
+
+// Guards against the same where that daemon stops while the target still answers.
+TEST(CutOff, AResponseWithoutALengthIsNoSuccessIfTheDaemonOnItsWayStops)
+{
+    ScriptedTarget& target = testBed.addTarget([](const HttpMessage& received) { return headerWithoutLength(received) + "part"; });
+    testBed.start(2, false);
+    cutOff(0, freeAddress);
+    auto caller = testBed.connectCaller(0);
+    caller->send(makeRequest("r", "POST", "body"));
+    CHECK(testBed.runUntil([&] { return !target.requests.empty(); }));
+    testBed.runFor(milliseconds(50));
+    testBed.peerServers.pop_back();
+    testBed.proxies.pop_back();
+    CHECK(testBed.runUntil([&] { return !caller->responses.empty() || caller->ended; }));
+    CHECK_EQUAL(502, caller->responses.front().status);
+}
+
+TEST(CutOff, AResponseWithoutALengthThatItsTargetEndsIsServedThroughAnotherDaemon)
+{
+    const std::string body(40'000, 'b');
+    ScriptedTarget& target = testBed.addTarget([&](const HttpMessage& received) { return headerWithoutLength(received) + body; });
+    target.closeAfterResponse = true;
+    testBed.start(2, false);
+    cutOff(0, freeAddress);
+    auto caller = testBed.connectCaller(0);
+    caller->send(makeRequest("r", "POST", "body"));
+    CHECK(testBed.runUntil([&] { return !caller->responses.empty() || caller->ended; }));
+    CHECK_EQUAL(200, caller->responses.front().status);
+    CHECK_EQUAL(body.size(), caller->responses.front().body.size());
+}
+
+// While VMs are replaced one after the other, the daemon on the way may be of a release that doesn't state the end of the target's
+// connection: what has a length is served, and what has none can't be known to be complete.
+TEST(CutOff, OnlyResponsesWithALengthAreServedThroughADaemonOfAnEarlierRelease)
+{
+    for (const bool hasLength : { true, false }) {
+        ProxyTestBed bed;
+        bed.addTarget([](const HttpMessage&) { return std::nullopt; });
+        bed.start(2, false);
+        bed.entries.front().target.address = freeAddress();
+        bed.proxies[0]->applyTargetChanges(bed.entries, {});
+        bed.peerServers.pop_back();
+        PlainMember member(bed.io, bed.settings[1].peerAddress, [hasLength](const HttpMessage& request) { return hasLength ? ScriptedTarget::healthyResponse(request) : headerWithoutLength(request) + "whole"; });
+        auto caller = bed.connectCaller(0);
+        caller->send(makeRequest("r", "POST", "body"));
+        CHECK(bed.runUntil([&] { return !caller->responses.empty() || caller->ended; }));
+        CHECK_EQUAL(hasLength ? 200U : 502U, caller->responses.front().status);
+    }
+}
+
+// The other way round: a daemon of an earlier release gets the target's bytes as they are, and a reset if this daemon stops.
+TEST(CutOff, ADaemonOfAnEarlierReleaseGetsTheBytesAsTheyAre)
+{
+    testBed.addTarget([](const HttpMessage& received) { return headerWithoutLength(received) + "part"; });
+    testBed.start(1, false);
+    asio::ip::tcp::socket earlier(testBed.io);
+    earlier.connect(parseTcpEndpoint(testBed.settings[0].peerAddress));
+    asio::write(earlier, asio::buffer(std::string("GET /tunnel/i-1 HTTP/1.1\r\nHost: target\r\nConnection: Upgrade\r\nUpgrade: flamingowick-tunnel\r\n\r\n")));
+    std::string received;
+    asio::error_code endedWith;
+    std::array<char, 4096> buffer {};
+    std::function<void()> read = [&] {
+        earlier.async_read_some(asio::buffer(buffer), [&](const asio::error_code& error, std::size_t size) {
+            endedWith = error;
+            received.append(buffer.data(), size);
+            if (!error)
+                read();
+        });
+    };
+    read();
+    CHECK(testBed.runUntil([&] { return received.ends_with("\r\n\r\n"); }));
+    CHECK(parseTunnelReply(received) == TunnelReply::EstablishedPlain);
+    received.clear();
+    asio::write(earlier, asio::buffer(makeRequest("r")));
+    CHECK(testBed.runUntil([&] { return received.ends_with("part"); }));
+    CHECK(received.starts_with("HTTP/1.1 200 OK\r\n"));
+    testBed.peerServers.clear();
+    testBed.proxies.clear();
+    CHECK(testBed.runUntil([&] { return static_cast<bool>(endedWith); }));
+    CHECK(endedWith == asio::error::connection_reset);
+}
+
 // Guards against harmless requests that are refused since the daemon's own connection to a target fails: that isn't a crash.
 TEST(CutOff, ConnectionsThatFailAreNotTakenForCrashesOfTargets)
 {
@@ -250,3 +447,29 @@
     serve();
     CHECK_EQUAL(2U, target.connections);
 }
+
+TEST_GROUP(TunnelFrames) {
+    static std::string frame(const std::string& content) {
+        const auto header = tunnelFrameHeader(static_cast<std::uint32_t>(content.size()));
+return std::string(header.begin(), header.end()) + content;
+}
+}
+;
+
+TEST(TunnelFrames, AreReadFromPartsOfAnySize)
+{
+    const std::string content = std::string(300, 'a') + "b" + std::string(70'000, 'c');
+    const std::string bytes = frame(std::string(300, 'a')) + frame("b") + frame(std::string(70'000, 'c')) + frame("") + "ignored";
+    for (const std::size_t partBytes : { std::size_t { 1 }, std::size_t { 3 }, std::size_t { 305 }, bytes.size() }) {
+        TunnelFrameReader reader;
+        std::string read;
+        for (std::size_t position = 0; position < bytes.size(); position += partBytes) {
+            std::string part = bytes.substr(position, partBytes);
+            CHECK_EQUAL(position >= bytes.size() - 7, reader.hasEnded());
+            part.resize(reader.extractContent(part));
+            read += part;
+        }
+        CHECK(read == content);
+        CHECK(reader.hasEnded());
+    }
+}
