Ignore changes from a relay that is behind

Cause: a relay that stood still answered a poll with the entry's last write, which its follower, that had the removal from the other relay, took for a new object. No relay sent the removal again.

Without the fix four of the five new tests of State fail. All 225 tests of proxy and 45 of the adapter pass.

--- a/packages/proxy/src/StateCache.cpp
+++ b/packages/proxy/src/StateCache.cpp
@@ -24,8 +24,13 @@
     {
         const auto known = cache.objects.find(change.object.name);
         if (change.removed) {
+            if (known == cache.objects.end()) {
+                // A peer may know the object from another sender.
+                appendToChangeLog(cache, revision, change.object.name);
+                return false;
+            }
             // A removal older than the known object concerns an earlier object of the same name.
-            if (known == cache.objects.end() || known->second.revision > change.object.revision)
+            if (known->second.revision > change.object.revision)
                 return false;
             cache.objects.erase(known);
         } else {
@@ -37,6 +42,18 @@
         return true;
     }
 
+    // Applies changes of a sender that is not behind the cache.
+    std::vector<StateChange> applyCurrentChanges(KindCache& cache, std::uint64_t revision, std::span<const StateChange> changes)
+    {
+        std::vector<StateChange> applied;
+        for (const StateChange& change : changes) {
+            if (applyChange(cache, revision, change))
+                applied.push_back(change);
+        }
+        cache.seenRevision = revision;
+        return applied;
+    }
+
 }
 
 std::vector<StateChange> applySnapshot(KindCache& cache, std::uint64_t revision, std::span<const StateObject> objects)
@@ -54,23 +71,22 @@
     }
     for (const StateObject& object : objects)
         changes.push_back({ object, false });
-    // The log lacks the changes before the first snapshot, so a peer that has seen less gets a snapshot as well.
-    if (!cache.hasSnapshot)
+    // The log lacks the changes before the snapshot, such as those of objects that came and went, so that a peer that has seen less
+    // gets a snapshot as well.
+    if (!cache.hasSnapshot || revision > cache.seenRevision) {
+        cache.changeLog.clear();
         cache.logStartRevision = revision;
+    }
     cache.hasSnapshot = true;
-    return applyChanges(cache, revision, changes);
+    return applyCurrentChanges(cache, revision, changes);
 }
 
 std::vector<StateChange> applyChanges(KindCache& cache, std::uint64_t revision, std::span<const StateChange> changes)
 {
-    std::vector<StateChange> applied;
-    const std::uint64_t newRevision = std::max(cache.seenRevision, revision);
-    for (const StateChange& change : changes) {
-        if (applyChange(cache, newRevision, change))
-            applied.push_back(change);
-    }
-    cache.seenRevision = newRevision;
-    return applied;
+    // Of an object that was removed since, a sender that is behind still has the last write, which can't be told from a new one.
+    if (revision <= cache.seenRevision)
+        return {};
+    return applyCurrentChanges(cache, revision, changes);
 }
 
 bool hasChangesSince(const KindCache& cache, std::uint64_t seenRevision) noexcept
--- a/packages/proxy/tests/unit-parts.cpp
+++ b/packages/proxy/tests/unit-parts.cpp
@@ -8,6 +8,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <random>
+
 using namespace flamingowick;
 using namespace flamingowick::proxy;
 using std::chrono::milliseconds;
@@ -318,6 +320,17 @@
 
     static StateChange makeWrite(const std::string& name, std::uint64_t revision) { return { { name, revision, name + std::to_string(revision) }, false }; }
     static StateChange makeRemoval(const std::string& name, std::uint64_t revision) { return { { name, revision, {} }, true }; }
+
+    static void deliver(const StateDelta& delta, KindCache& receiver)
+    {
+        std::vector<StateObject> objects;
+        for (const StateChange& change : delta.changes)
+            objects.push_back(change.object);
+        if (delta.isSnapshot)
+            applySnapshot(receiver, delta.revision, objects);
+        else
+            applyChanges(receiver, delta.revision, delta.changes);
+    }
 };
 
 TEST(State, ASnapshotReturnsTheChangesThatItMakes)
@@ -354,6 +367,89 @@
     CHECK_EQUAL(2, delta.changes.size());
 }
 
+// Guards against a target that has left and comes back: a relay that stood still sends a write that is older than the removal which
+// another relay has sent.
+TEST(State, AWriteOlderThanARemovalBringsNothingBack)
+{
+    applySnapshot(cache, 10, std::vector<StateObject> { { "a", 5, "" }, { "b", 6, "" } });
+    applyChanges(cache, 12, std::vector<StateChange> { makeRemoval("a", 12) });
+    CHECK_EQUAL(0, applyChanges(cache, 11, std::vector<StateChange> { makeWrite("a", 11) }).size());
+    CHECK_EQUAL(0, applyChanges(cache, 12, std::vector<StateChange> { makeWrite("a", 11) }).size());
+    CHECK_EQUAL(1, cache.objects.size());
+}
+
+// Guards against the same where the removal came with a snapshot, or where the object was unknown when it was removed.
+TEST(State, NorDoesOneOlderThanASnapshotOrTheRemovalOfAnUnknownObject)
+{
+    applySnapshot(cache, 10, std::vector<StateObject> { { "a", 5, "" } });
+    applySnapshot(cache, 20, std::vector<StateObject> {});
+    applyChanges(cache, 22, std::vector<StateChange> { makeRemoval("b", 22) });
+    CHECK_EQUAL(0, applyChanges(cache, 21, std::vector<StateChange> { makeWrite("a", 18), makeWrite("b", 21) }).size());
+    CHECK(cache.objects.empty());
+}
+
+TEST(State, AnObjectThatIsWrittenAfterItsRemovalIsBack)
+{
+    applySnapshot(cache, 10, std::vector<StateObject> { { "a", 5, "" } });
+    applyChanges(cache, 12, std::vector<StateChange> { makeRemoval("a", 12) });
+    CHECK_EQUAL(1, applyChanges(cache, 14, std::vector<StateChange> { makeWrite("a", 13) }).size());
+    CHECK_EQUAL(13, cache.objects.at("a").revision);
+}
+
+// Guards against the same where a relay reads a list that no longer shows the object, which it has never known.
+TEST(State, APeerLearnsOfTheRemovalOfAnObjectThatOnlyOtherPeersHaveKnown)
+{
+    KindCache peer;
+    applySnapshot(cache, 10, std::vector<StateObject> { { "a", 5, "" } });
+    applySnapshot(peer, 10, std::vector<StateObject> { { "a", 5, "" } });
+    applyChanges(peer, 11, std::vector<StateChange> { makeWrite("b", 11) });
+    applySnapshot(cache, 14, std::vector<StateObject> { { "a", 13, "" } });
+    deliver(changesSince(cache, peer.seenRevision), peer);
+    CHECK_EQUAL(1, peer.objects.size());
+    applyChanges(peer, 15, std::vector<StateChange> { makeWrite("c", 15) });
+    applyChanges(cache, 16, std::vector<StateChange> { makeRemoval("c", 16) });
+    deliver(changesSince(cache, peer.seenRevision), peer);
+    CHECK_EQUAL(1, peer.objects.size());
+}
+
+// The schedules of two relays that each stand still, list the store anew or answer polls late at times.
+TEST(State, AFollowerOfTwoRelaysThatStandStillAtTimesHasTheObjectsOfTheStore)
+{
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        std::mt19937 random(seed);
+        KindCache store;
+        store.hasSnapshot = true;
+        std::array<KindCache, 2> relays;
+        KindCache follower;
+        // Answers that a relay has made and not sent yet.
+        std::array<std::optional<StateDelta>, 2> held;
+        for (std::uint64_t revision = 1; revision < 300; ++revision) {
+            const std::string name = "o" + std::to_string(random() % 6);
+            applyChanges(store, revision, std::vector<StateChange> { random() % 3 == 0 ? makeRemoval(name, revision) : makeWrite(name, revision) });
+            for (std::size_t index = 0; index < relays.size(); ++index) {
+                if (held.at(index)) {
+                    if (random() % 4 == 0) {
+                        deliver(*held.at(index), follower);
+                        held.at(index).reset();
+                    }
+                    continue;
+                }
+                deliver(changesSince(store, random() % 10 == 0 ? 0 : relays.at(index).seenRevision), relays.at(index));
+                held.at(index) = changesSince(relays.at(index), follower.seenRevision);
+            }
+        }
+        for (std::size_t index = 0; index < relays.size(); ++index) {
+            if (held.at(index))
+                deliver(*held.at(index), follower);
+        }
+        if (follower.seenRevision < store.seenRevision)
+            deliver(changesSince(store, follower.seenRevision), follower);
+        CHECK_EQUAL(store.objects.size(), follower.objects.size());
+        for (const auto& [name, object] : store.objects)
+            CHECK_EQUAL(object.revision, follower.objects.at(name).revision);
+    }
+}
+
 TEST(State, APeerThatAppliesDeltasHasTheSameObjects)
 {
     KindCache peer;
@@ -363,14 +459,7 @@
         cache.hasSnapshot = true;
         if (revision % (1 + revision % 37) != 0)
             continue;
-        const StateDelta delta = changesSince(cache, peer.seenRevision);
-        std::vector<StateObject> objects;
-        for (const StateChange& change : delta.changes)
-            objects.push_back(change.object);
-        if (delta.isSnapshot)
-            applySnapshot(peer, delta.revision, objects);
-        else
-            applyChanges(peer, delta.revision, delta.changes);
+        deliver(changesSince(cache, peer.seenRevision), peer);
         CHECK_EQUAL(cache.objects.size(), peer.objects.size());
         for (const auto& [key, object] : cache.objects)
             CHECK_EQUAL(object.revision, peer.objects.at(key).revision);
