Look for a crash whenever a target ends an attempt's connection

Cause: a connection's end counted as a possible crash only before the first byte of a response. A response without a length that a crash ended cleanly even counted as survived. Change: each end of a connection by its target is checked, as before by a connection that must last; a response that ends with its connection counts as survived once the target was found alive. The end of a daemon that passes bytes on is none of the target's.

--- a/packages/proxy/include/flamingowick/proxy/TargetConnections.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetConnections.h
@@ -59,8 +59,9 @@
     bool newConnection { false };
     // Name of the member through which the target was connected; empty for a direct connection.
     std::string member {};
-    // The connection ended before the first byte of a response, as it does when the target crashes.
-    bool endedWithoutResponse { false };
+    // The target ended the connection before its response was complete, or by its end completed one without a length. Either
+    // happens when it crashes.
+    bool endedByTarget { false };
     // Set only when a complete response was received.
     HttpMessage response;
     // How long the target wants no further request from this daemon, as its 503 response says.
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -335,10 +335,11 @@
     if (!result.member.empty())
         this->context.log.write(EventScope::Request, "entry", "connected-through", EventFields().text("request", this->requestId).text("target", attempt.instance).text("member", result.member).text("outcome", toString(result.outcome)));
     // A target that answers with an error may not have begun to work on the request.
-    if (result.outcome == AttemptOutcome::Succeeded)
+    const bool succeeded = result.outcome == AttemptOutcome::Succeeded;
+    if (result.endedByTarget)
+        this->checkForCrash(attempt, succeeded);
+    else if (succeeded)
         this->context.quarantine.handleSurvival(this->fingerprint);
-    if (result.endedWithoutResponse)
-        this->checkForCrash(attempt);
     if (result.targetLeaving)
         this->context.onTargetLeaving(attempt.instance, attempt.targetStartedAt);
     if (result.holdOff || result.holdOffUnreadable)
@@ -365,13 +366,16 @@
         this->scheduleTimer();
 }
 
-// A connection may also end because the target closed it while idle or resets some connections.
-void ActiveRequest::checkForCrash(const Attempt& attempt)
+// A connection may also end because the target closed it while idle, resets some connections, breaks some responses off or sends them
+// without a length.
+void ActiveRequest::checkForCrash(const Attempt& attempt, bool succeeded)
 {
-    this->context.links.checkAlive(attempt.instance, attempt.address, [&log = this->context.log, &quarantine = this->context.quarantine, fingerprint = this->fingerprint, id = this->requestId, instance = incarnationName(attempt.instance, attempt.targetStartedAt), startedAt = attempt.startedAt, endedAt = Clock::now()](bool alive) {
+    this->context.links.checkAlive(attempt.instance, attempt.address, [&log = this->context.log, &quarantine = this->context.quarantine, fingerprint = this->fingerprint, id = this->requestId, instance = incarnationName(attempt.instance, attempt.targetStartedAt), startedAt = attempt.startedAt, endedAt = Clock::now(), succeeded](bool alive) {
         log.write(EventScope::Request, "entry", "crash-checked", EventFields().text("request", id).text("target", instance).flag("alive", alive).milliseconds("tookMs", Clock::now() - endedAt));
         if (!alive)
             quarantine.handleCrash({ { fingerprint, instance }, Clock::now() - startedAt }, id);
+        else if (succeeded)
+            quarantine.handleSurvival(fingerprint);
     });
 }
 
--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -108,8 +108,9 @@
     bool hasUntriedTarget() const;
     // Responds if the request is refused because it crashes its targets. Returns whether it did.
     bool respondIfQuarantined();
-    // Finds out whether the target of an attempt without a response has crashed, and reports that.
-    void checkForCrash(const Attempt&);
+    // Finds out whether a target that has ended an attempt's connection has crashed, and reports that. A target that has answered and
+    // is alive has survived the request.
+    void checkForCrash(const Attempt&, bool succeeded);
     // Keeps this daemon's requests from a target that has rejected one and named a time.
     void recordHoldOff(const Attempt&, const AttemptResult&);
     // Passes on what the response says of its target's limit on requests, if the target has or had one.
--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -123,6 +123,7 @@
         this->handler = std::move(attemptHandler);
         this->reader.restart(this->spec.responseLimits, this->spec.isHeadRequest);
         this->mustClose = false;
+        this->endedByTarget = false;
         this->sent = false;
         this->ignoredResponses = 0;
         if (this->socket.is_open())
@@ -224,12 +225,7 @@
             return;
         }
         if (error) {
-            // A daemon that passes the target's bytes on states the end of the target's connection; the end of its own says
-            // nothing of the response.
-            if (!this->member.empty())
-                this->handleEnd(false, error == asio::error::eof ? "member-closed" : "member-reset");
-            else
-                this->handleEnd(error == asio::error::eof, error == asio::error::eof ? "closed" : "reset");
+            this->handleReadError(error == asio::error::eof);
             return;
         }
         this->lastReadAt = Clock::now();
@@ -244,12 +240,27 @@
             this->read();
     }
 
-    // Ends the attempt with its connection. A response without a length is complete only when the target has ended the
-    // connection cleanly.
-    void handleEnd(bool isCleanEndOfTarget, std::string_view reason)
+    void handleReadError(bool isCleanEnd)
+    {
+        if (this->member.empty()) {
+            this->handleEnd(isCleanEnd, isCleanEnd ? "closed" : "reset");
+            return;
+        }
+        // A member that passes the target's bytes on states the end of the target's connection in a frame, or passes its reset on; a clean
+        // end without the frame is the member's own.
+        if (isCleanEnd && this->frames)
+            this->failAttempt(grants::AttemptOutcome::ConnectionBroken, "member-closed");
+        else
+            this->handleEnd(false, isCleanEnd ? "member-closed" : "member-reset");
+    }
+
+    // Ends the attempt with its connection, which the target has ended. A response without a length is complete only then, and
+    // only if the end was clean.
+    void handleEnd(bool isCleanEnd, std::string_view reason)
     {
-        if (isCleanEndOfTarget)
+        if (isCleanEnd)
             this->reader.finishStream();
+        this->endedByTarget = true;
         this->mustClose = true;
         if (this->reader.state() == ReadState::Complete)
             this->completeAttempt();
@@ -309,6 +320,7 @@
         result.sent = true;
         result.newConnection = this->newConnection;
         result.member = this->member;
+        result.endedByTarget = this->endedByTarget;
         result.response = std::move(this->reader.message());
         result.outcome = classifyResponse(result.response, this->owner.headerNames, this->spec.requestId);
         if (result.outcome == grants::AttemptOutcome::ConnectionBroken)
@@ -345,7 +357,7 @@
         result.sent = this->sent;
         result.newConnection = this->newConnection;
         result.member = this->member;
-        result.endedWithoutResponse = outcome == grants::AttemptOutcome::ConnectionBroken && !this->reader.hasStarted();
+        result.endedByTarget = this->endedByTarget;
         result.reason = reason;
         this->finishAttempt(std::move(result), false);
     }
@@ -411,6 +423,7 @@
     bool writing { false };
     bool reading { false };
     bool mustClose { false };
+    bool endedByTarget { false };
     bool reusable { true };
     bool closed { false };
 };
--- a/packages/proxy/tests/ProxyTestBed.h
+++ b/packages/proxy/tests/ProxyTestBed.h
@@ -42,6 +42,7 @@
         , endpoint(parseTcpEndpoint(freeAddress()))
         , acceptor(io, this->endpoint)
         , restartTimer(io)
+        , crashTimer(io)
         , script(std::move(responseScript))
     {
         this->accept();
@@ -64,6 +65,10 @@
     bool resetInsteadOfResponse { false };
     // A request whose body contains this crashes the target; empty for none.
     std::string crashMark;
+    // Returns the part of a response that the target sends before such a crash; empty for none.
+    std::function<std::string(const HttpMessage& request)> responseBeforeCrash;
+    // Whether a crash ends the connections cleanly, as the kernel does where nothing was left to read, instead of resetting them.
+    bool crashEndsCleanly { false };
     // Whether the target answers such a request, by its script, instead of crashing; empty if it never does.
     std::function<bool()> survivesCrashMark;
     // How long a crashed target refuses connections.
@@ -124,7 +129,7 @@
             this->owner.requests.push_back(this->reader.message());
             const std::string& mark = this->owner.crashMark;
             if (!mark.empty() && this->reader.message().body.find(mark) != std::string::npos && !(this->owner.survivesCrashMark && this->owner.survivesCrashMark())) {
-                this->owner.crash();
+                this->crashTarget();
                 return;
             }
             if (this->owner.resetInsteadOfResponse) {
@@ -142,6 +147,20 @@
                 this->socket.shutdown(asio::ip::tcp::socket::shutdown_send);
         }
 
+        void crashTarget()
+        {
+            if (!this->owner.responseBeforeCrash) {
+                this->owner.crash();
+                return;
+            }
+            asio::write(this->socket, asio::buffer(this->owner.responseBeforeCrash(this->reader.message())));
+            this->owner.crashTimer.expires_after(std::chrono::milliseconds(20));
+            this->owner.crashTimer.async_wait([&target = this->owner](const asio::error_code& error) {
+                if (!error)
+                    target.crash();
+            });
+        }
+
         void writeWithoutEnd()
         {
             asio::async_write(this->socket, asio::buffer(this->owner.endlessBytes), [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
@@ -181,7 +200,12 @@
     void resetConnections()
     {
         for (const std::weak_ptr<Connection>& item : this->openConnections) {
-            if (const std::shared_ptr<Connection> connection = item.lock(); connection && connection->socket.is_open())
+            const std::shared_ptr<Connection> connection = item.lock();
+            if (!connection || !connection->socket.is_open())
+                continue;
+            if (this->crashEndsCleanly)
+                connection->socket.close();
+            else
                 connection->reset();
         }
         this->openConnections.clear();
@@ -203,6 +227,7 @@
     asio::ip::tcp::endpoint endpoint;
     asio::ip::tcp::acceptor acceptor;
     Timer restartTimer;
+    Timer crashTimer;
     std::vector<std::weak_ptr<Connection>> openConnections;
     Script script;
 };
--- a/packages/proxy/tests/unit-crashing-requests.cpp
+++ b/packages/proxy/tests/unit-crashing-requests.cpp
@@ -16,6 +16,12 @@
 // Longer than the downtime of a crashed target.
 constexpr Duration returnDelay { milliseconds(70) };
 
+// Parts of responses that a target may have sent when it crashes.
+std::string startOfResponse(const HttpMessage& request, std::string_view rest)
+{
+    return "HTTP/1.1 200 OK\r\nX-Id: " + std::string(headerValue(request, "X-Id")) + "\r\nX-Signature: s\r\n" + std::string(rest);
+}
+
 std::optional<std::string> respondWell(const HttpMessage& received) { return ScriptedTarget::healthyResponse(received); }
 
 }
@@ -75,6 +81,55 @@
     CHECK_EQUAL(200, send(0, "wholesome").status);
 }
 
+// Guards against a request that crashes target after target because they have begun to answer it: with an interim response, a part of the
+// header, a part of a body with a length, in chunks or without either.
+TEST(CrashingRequests, AreRecognisedThoughTheTargetsHaveBegunToAnswer)
+{
+    const std::vector<std::string> rests { "", "Content-Le", "Content-Length: 4000\r\n\r\n", "Content-Length: 4000\r\n\r\npart", "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", "\r\npart" };
+    for (const bool endsCleanly : { false, true }) {
+        for (std::size_t index = 0; index <= rests.size(); ++index) {
+            ProxyTestBed bed;
+            for (int target = 0; target < 6; ++target) {
+                ScriptedTarget& added = bed.addTarget(respondWell);
+                added.crashMark = "poison";
+                added.crashEndsCleanly = endsCleanly;
+                added.responseBeforeCrash = [&rests, index](const HttpMessage& request) { return index == rests.size() ? std::string("HTTP/1.1 103 Early Hints\r\n\r\n") : startOfResponse(request, rests[index]); };
+            }
+            bed.start(2, false);
+            for (std::size_t count = 0; count < 12; ++count) {
+                auto caller = bed.connectCaller(count % 2);
+                caller->send(makeRequest("r" + std::to_string(count), "POST", "poison"));
+                CHECK(bed.runUntil([&] { return !caller->responses.empty() || caller->ended; }));
+                bed.runFor(returnDelay + milliseconds(20));
+            }
+            const unsigned crashed = std::accumulate(bed.targets.begin(), bed.targets.end(), 0U, [](unsigned sum, const auto& target) { return sum + target->crashes; });
+            CHECK_COMPARE(crashed, <=, allowedCrashes);
+            CHECK_COMPARE(crashed, >=, 3U);
+        }
+    }
+}
+
+// Guards against harmless requests being refused because targets that live break their responses off, or end them with the connection.
+TEST(CrashingRequests, AreToldFromThoseWhoseTargetsEndTheConnectionAndLive)
+{
+    for (const std::string_view rest : { "Content-Length: 4000\r\n\r\npart", "\r\nwhole" }) {
+        const bool isWhole = rest.ends_with("whole");
+        ProxyTestBed bed;
+        for (int target = 0; target < 6; ++target)
+            bed.addTarget([rest](const HttpMessage& request) { return startOfResponse(request, rest); }).closeAfterResponse = true;
+        bed.start(3, false);
+        for (std::size_t count = 0; count < 9; ++count) {
+            auto caller = bed.connectCaller(count % 3);
+            caller->send(makeRequest("r" + std::to_string(count), "POST", "wholesome"));
+            CHECK(bed.runUntil([&] { return !caller->responses.empty() || caller->ended; }));
+            CHECK_EQUAL(isWhole ? 200U : 502U, caller->responses.front().status);
+        }
+        bed.runFor(milliseconds(600));
+        for (const auto& proxy : bed.proxies)
+            CHECK(proxy->requestQuarantine().refusedRequests().empty());
+    }
+}
+
 // Guards against crashes being missed because a dying process still accepts the connection that checks on it.
 TEST(CrashingRequests, AreRecognisedThoughTheTargetsListenForAMomentAfterTheirConnectionsEnded)
 {
