--- a/packages/proxy/include/flamingowick/proxy/Relays.h
+++ b/packages/proxy/include/flamingowick/proxy/Relays.h
@@ -3,6 +3,7 @@
 #include "flamingowick/proxy/Fleet.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,11 @@
 // domain has no member that can be a relay, they are chosen from all domains. Linear in the members.
 std::vector<std::string> relaysForDomain(Fleet&, std::string_view failureDomain, const RelayLimits&);
 
+// Returns the relay that a daemon which is a relay itself follows, so that it learns also what the store has told it in a response that was
+// lost: another one of its failure domain or, where it has none, one of the next domain. Empty if there is no other relay. Linear in
+// the members.
+std::optional<std::string> relayForRelay(Fleet&, std::string_view failureDomain, const RelayLimits&);
+
 // Returns whether daemons of a release that knows no links, if there are any, follow this daemon: they choose by the hash
 // alone. Linear in the members.
 bool isRelayOfEarlierRelease(Fleet&, std::string_view failureDomain, const RelayLimits&);
--- a/packages/proxy/include/flamingowick/proxy/StateCache.h
+++ b/packages/proxy/include/flamingowick/proxy/StateCache.h
@@ -63,7 +63,7 @@
 std::vector<StateChange> applySnapshot(KindCache&, std::uint64_t revision, std::span<const StateObject>);
 
 // Applies all changes up to a revision and returns those that were not contained before. Ignored unless the revision is newer than
-// the cache, which contains them otherwise. Logarithmic for each change.
+// the cache, which contains them otherwise. Logarithmic for each change, linear in the log for the removal of an unknown object.
 std::vector<StateChange> applyChanges(KindCache&, std::uint64_t revision, std::span<const StateChange>);
 
 // Returns what a peer lacks that has seen all changes up to a revision. Linear in the changes since, or in all objects
--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -19,7 +19,8 @@
 
 // Distributes the store's state without every daemon watching the store: in each failure domain a few daemons,
 // the relays, watch the store, and the others follow two relays each by long polling. A follower that reaches no
-// relay with a current connection to the store watches the store itself.
+// relay with a current connection to the store watches the store itself. A relay follows another relay, too, since a response of the
+// store to its own watch may be lost.
 namespace flamingowick::proxy {
 
 namespace wire {
@@ -140,6 +141,7 @@
     void handleRelayResponse(const std::shared_ptr<FollowedRelay>&, const HttpResponse&);
     void publishChanges(StateKind, const std::vector<StateChange>&, const ChangeSource&);
     Duration storeContactAge() const;
+    std::vector<std::string> relaysToFollow(const std::vector<std::string>& relaysOfDomain) const;
     void scheduleRoleReview();
 
     asio::io_context& io;
--- a/packages/proxy/src/Relays.cpp
+++ b/packages/proxy/src/Relays.cpp
@@ -1,7 +1,10 @@
 #include "flamingowick/proxy/Relays.h"
 
+#include "flamingowick/model/StableHash.h"
+
 #include <algorithm>
 #include <iterator>
+#include <set>
 
 namespace flamingowick::proxy {
 
@@ -41,6 +44,24 @@
     return relays;
 }
 
+std::optional<std::string> relayForRelay(Fleet& fleet, std::string_view failureDomain, const RelayLimits& limits)
+{
+    std::set<std::string, std::less<>> domains;
+    for (const auto& [name, member] : fleet.members)
+        domains.insert(member.failureDomain);
+    // The own domain first, then the others from the one after it on.
+    std::vector<std::string> ordered(domains.lower_bound(failureDomain), domains.end());
+    ordered.insert(ordered.end(), domains.begin(), domains.lower_bound(failureDomain));
+    for (const std::string& domain : ordered) {
+        const std::vector<std::string> relays = relaysForDomain(fleet, domain, limits);
+        for (const std::size_t index : rendezvousOrder(fleet.self, relays)) {
+            if (relays[index] != fleet.self)
+                return relays[index];
+        }
+    }
+    return std::nullopt;
+}
+
 bool isRelayOfEarlierRelease(Fleet& fleet, std::string_view failureDomain, const RelayLimits& limits)
 {
     const bool hasEarlierFollowers = std::any_of(fleet.members.begin(), fleet.members.end(), [](const auto& item) { return item.second.linkMbps <= 0; });
--- a/packages/proxy/src/StateCache.cpp
+++ b/packages/proxy/src/StateCache.cpp
@@ -19,6 +19,12 @@
         }
     }
 
+    // Whether peers are told of the object's removal already. Linear in the log.
+    bool isInChangeLog(const KindCache& cache, const StateObject& removed)
+    {
+        return std::any_of(cache.changeLog.begin(), cache.changeLog.end(), [&removed](const auto& entry) { return entry.second == removed.name && entry.first >= removed.revision; });
+    }
+
     // Returns whether the change was not contained before.
     bool applyChange(KindCache& cache, std::uint64_t revision, const StateChange& change)
     {
@@ -26,7 +32,8 @@
         if (change.removed) {
             if (known == cache.objects.end()) {
                 // A peer may know the object from another sender.
-                appendToChangeLog(cache, revision, change.object.name);
+                if (!isInChangeLog(cache, change.object))
+                    appendToChangeLog(cache, revision, change.object.name);
                 return false;
             }
             // A removal older than the known object concerns an earlier object of the same name.
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -276,14 +276,7 @@
     if (this->storeContactAge() > this->limits.maxContactAge)
         this->watchStoreUntil = now + this->limits.minDirectWatchTime;
     const bool watch = this->isRelay || now < this->watchStoreUntil;
-    // Each follower orders the relays by its own name, so that the followers spread evenly over them.
-    std::vector<std::string> toFollow;
-    if (!this->isRelay) {
-        for (const std::size_t index : rendezvousOrder(this->fleet.self, relays))
-            toFollow.push_back(relays[index]);
-        if (toFollow.size() > this->limits.relays.followed)
-            toFollow.resize(this->limits.relays.followed);
-    }
+    const std::vector<std::string> toFollow = this->relaysToFollow(relays);
     std::erase_if(this->followedRelays, [&toFollow](const std::shared_ptr<FollowedRelay>& relay) {
         relay->dropped = std::find(toFollow.begin(), toFollow.end(), relay->name) == toFollow.end();
         if (relay->dropped) {
@@ -311,6 +304,22 @@
     this->scheduleRoleReview();
 }
 
+std::vector<std::string> StateFeed::relaysToFollow(const std::vector<std::string>& relaysOfDomain) const
+{
+    std::vector<std::string> toFollow;
+    if (this->isRelay) {
+        if (std::optional<std::string> other = relayForRelay(this->fleet, this->failureDomain, this->limits.relays))
+            toFollow.push_back(std::move(*other));
+        return toFollow;
+    }
+    // Each follower orders the relays by its own name, so that the followers spread evenly over them.
+    for (const std::size_t index : rendezvousOrder(this->fleet.self, relaysOfDomain))
+        toFollow.push_back(relaysOfDomain[index]);
+    if (toFollow.size() > this->limits.relays.followed)
+        toFollow.resize(this->limits.relays.followed);
+    return toFollow;
+}
+
 void StateFeed::reviewDirectWatch()
 {
     if (this->storeContactAge() <= this->limits.maxContactAge)
--- a/packages/proxy/tests/unit-relays.cpp
+++ b/packages/proxy/tests/unit-relays.cpp
@@ -79,3 +79,32 @@
     setLinks();
     CHECK(relays() == chosenEarlier);
 }
+
+// Guards against a relay that depends on the responses of the store to its own watches.
+TEST(Relays, FollowAnotherRelayOfTheirDomain)
+{
+    links[17] = 200;
+    links[31] = 200;
+    setLinks();
+    fleet.self = "vm-17";
+    CHECK(relayForRelay(fleet, "a", {}) == "vm-31");
+    fleet.self = "vm-31";
+    CHECK(relayForRelay(fleet, "a", {}) == "vm-17");
+}
+
+TEST(Relays, FollowARelayOfTheNextDomainWhereTheirOwnHasNoOther)
+{
+    const auto setDomains = [this](const std::vector<std::string>& domains) {
+        std::vector<FleetMember> members;
+        for (const std::string& domain : domains)
+            members.push_back({ "vm-" + domain, "127.0.0.1:1", domain, 10 });
+        setMembers(fleet, members, Clock::now());
+    };
+    setDomains({ "a", "b", "c" });
+    fleet.self = "vm-b";
+    CHECK(relayForRelay(fleet, "b", {}) == "vm-c");
+    fleet.self = "vm-c";
+    CHECK(relayForRelay(fleet, "c", {}) == "vm-a");
+    setDomains({ "c" });
+    CHECK_FALSE(relayForRelay(fleet, "c", {}).has_value());
+}
