Take only responses with the request's ID for its answer

Cause: only successes had to carry the ID, and a response that the end of the connection completed was not compared with it at all. Evidence: of five forms of such bytes three were taken for the answer; an earlier rejection with its ID and a length was passed over, and a request is sent to each target once (ActiveRequest::triedInstances). Change: a response without the request's ID is passed over, whatever its status; if the connection ends without an answer, the outcome is unknown. Two scripted targets of tests answered without an ID, which targets return in each response; they return it now, the checks are the same.

--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -262,7 +262,7 @@
             this->reader.finishStream();
         this->endedByTarget = true;
         this->mustClose = true;
-        if (this->reader.state() == ReadState::Complete)
+        if (this->reader.state() == ReadState::Complete && this->isAnswer())
             this->completeAttempt();
         else
             this->failAttempt(grants::AttemptOutcome::ConnectionBroken, reason);
@@ -285,7 +285,7 @@
                 this->failAttempt(grants::AttemptOutcome::ConnectionBroken, "not-http");
                 return false;
             }
-            if (this->isInterimOrStale()) {
+            if (!this->isAnswer()) {
                 this->mustClose = true;
                 if (++this->ignoredResponses > maxIgnoredResponses) {
                     this->failAttempt(grants::AttemptOutcome::ConnectionBroken, "too-many-responses");
@@ -303,15 +303,12 @@
         return true;
     }
 
-    // Whether the response is an interim one (1xx) or carries another request's ID, such as a late response to an
-    // earlier request on this connection.
-    bool isInterimOrStale()
+    // Whether the response answers the request. It doesn't if it is an interim one (1xx), or doesn't carry the request's ID: a late response to
+    // an earlier request on this connection, or bytes of a faulty target that belong to no request.
+    bool isAnswer()
     {
         const HttpMessage& response = this->reader.message();
-        if (response.status < 200)
-            return true;
-        const std::string_view returnedId = headerValue(response, this->owner.headerNames.requestId);
-        return !returnedId.empty() && returnedId != this->spec.requestId;
+        return response.status >= 200 && headerValue(response, this->owner.headerNames.requestId) == this->spec.requestId;
     }
 
     void completeAttempt()
--- a/packages/proxy/tests/unit-entry.cpp
+++ b/packages/proxy/tests/unit-entry.cpp
@@ -130,7 +130,7 @@
 
 TEST(Entry, RetriesWhenTheTargetStatesThatItDidNotExecuteTheRequest)
 {
-    testBed.addTarget([](const HttpMessage&) { return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"; });
+    testBed.addTarget([](const HttpMessage& received) { return "HTTP/1.1 503 Service Unavailable\r\nX-Id: " + std::string(headerValue(received, "X-Id")) + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"; });
     testBed.addTarget([](const HttpMessage& received) { return ScriptedTarget::healthyResponse(received); });
     testBed.start(1, false);
     for (int count = 0; count < 4; ++count) {
--- a/packages/proxy/tests/unit-retry-credit.cpp
+++ b/packages/proxy/tests/unit-retry-credit.cpp
@@ -102,7 +102,7 @@
 TEST(RetryCredit, IsNotWaitedForBeyondTheGraceOfAStop)
 {
     for (int index = 0; index < 6; ++index)
-        testBed.addTarget([](const HttpMessage&) { return "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"; });
+        testBed.addTarget([](const HttpMessage& received) { return "HTTP/1.1 500 Internal Server Error\r\nX-Id: " + std::string(headerValue(received, "X-Id")) + "\r\nContent-Length: 0\r\n\r\n"; });
     testBed.start(1, true, seconds(10));
     ProxySettings settings = testBed.settings.front();
     settings.stopGrace = seconds(3);
