Take no answer whose header was cut for a whole one

Cause: libcurl reports no error when the connection closes in the middle of a header; what had arrived counted as whole if it announced no body. Evidence: the new test failed at cuts after Content-Length: 0 and after a status 204. Change: an answer is whole only after the empty line behind its headers.

--- a/packages/gateway/src/TargetClient.cpp
+++ b/packages/gateway/src/TargetClient.cpp
@@ -43,6 +43,8 @@
         unsigned sends { 0 };
         bool tooLarge { false };
         bool framed { false };
+        // The empty line after the last header was received.
+        bool headerComplete { false };
 
         Transfer() = default;
         Transfer(const Transfer&) = delete;
@@ -93,6 +95,11 @@
         if (line.starts_with("HTTP/")) {
             transfer->result.headers.clear();
             transfer->framed = false;
+            transfer->headerComplete = false;
+            return line.size();
+        }
+        if (trim(line).empty()) {
+            transfer->headerComplete = true;
             return line.size();
         }
         auto colon = line.find(':');
@@ -115,8 +122,9 @@
     AttemptEnd classify(const Transfer& transfer, CURLcode code)
     {
         if (code == CURLE_OK) {
-            // A body that only the closing of the connection ends can't be told from a cut one.
-            return transfer.framed || hasNoBody(transfer) ? AttemptEnd::Answered : AttemptEnd::BadAnswer;
+            // libcurl reports no error when the connection closes in the middle of the header. A body that only the closing of the
+            // connection ends can't be told from a cut one.
+            return transfer.headerComplete && (transfer.framed || hasNoBody(transfer)) ? AttemptEnd::Answered : AttemptEnd::BadAnswer;
         }
         if (transfer.sends == 0)
             return AttemptEnd::NotSent;
--- a/packages/gateway/tests/unit-gateway.cpp
+++ b/packages/gateway/tests/unit-gateway.cpp
@@ -223,6 +223,20 @@
     }
 }
 
+// Guards against an answer that looks whole though its target stopped in the middle of the header and closed the connection.
+TEST(TargetClient, TakesNoAnswerWhoseHeaderIsCutForAWholeOne)
+{
+    SingleAttempts attempts;
+    for (const std::string& whole : { std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Proof: s\r\n\r\n"), std::string("HTTP/1.1 204 No Content\r\nX-Proof: s\r\n\r\n") }) {
+        for (std::size_t size = 1; size < whole.size(); ++size) {
+            ScriptedTarget target({ whole.substr(0, size) });
+            CHECK(attempts.run(target.address(), "GET", "").end != AttemptEnd::Answered);
+        }
+        ScriptedTarget target({ whole });
+        CHECK(attempts.run(target.address(), "GET", "").end == AttemptEnd::Answered);
+    }
+}
+
 TEST(TargetClient, EndsAnAnswerOverTheLimit)
 {
     SingleAttempts attempts;
