--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -1,5 +1,6 @@
 #include "flamingowick/proxy/TargetConnections.h"
 
+#include "LivenessCheck.h"
 #include "TargetConnector.h"
 
 #include "flamingowick/proxy/TunnelFrames.h"
@@ -8,7 +9,6 @@
 #include <asio/write.hpp>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <cmath>
 
@@ -27,14 +27,6 @@
     // Interim responses and late ones to earlier requests that are passed over before the response. A target that goes on
     // sending them would otherwise hold the request until its deadline.
     constexpr unsigned maxIgnoredResponses = 16;
-    // How long a connection must last to show that its target is alive. A process closes all its sockets within
-    // milliseconds, on a busy VM within tens of them.
-    constexpr Duration livenessHoldTime { std::chrono::milliseconds(250) };
-    // Connections that may end early before the target counts as dead, and the delay before the second, which doubles
-    // each time: a live target that is short of connections resets some, but not all for most of a second.
-    constexpr unsigned maxEndedLivenessConnections = 4;
-    constexpr Duration firstLivenessRetryDelay { std::chrono::milliseconds(50) };
-
     // Reads a decimal number without a sign or an exponent.
     std::optional<double> parseDecimal(std::string_view value) noexcept
     {
@@ -425,123 +417,6 @@
     bool closed { false };
 };
 
-// Finds out whether a target is alive after it has ended a connection. Accepting a connection is no proof: the kernel
-// ends the connections of a dying process before it closes the listening socket, and a relay accepts in place of a
-// target that is gone. A connection therefore has to last.
-class LivenessCheck : public std::enable_shared_from_this<LivenessCheck> {
-public:
-    LivenessCheck(TargetConnections& connections, std::string targetInstance, std::string targetAddress, std::function<void(bool)> checkHandler)
-        : owner(connections)
-        , instance(std::move(targetInstance))
-        , address(std::move(targetAddress))
-        , socket(connections.context)
-        , timer(connections.context)
-        , handler(std::move(checkHandler))
-    {
-    }
-
-    void start()
-    {
-        this->connector = std::make_shared<TargetConnector>(this->owner, this->instance, this->address);
-        this->connector->start([self = this->shared_from_this()](Connected result) {
-            self->connector = nullptr;
-            if (!self->handler)
-                return;
-            if (!result.failure.empty()) {
-                self->finish(false);
-                return;
-            }
-            self->socket = std::move(result.socket);
-            self->frames.reset();
-            if (result.framed)
-                self->frames.emplace();
-            self->awaitEnd();
-        });
-    }
-
-    // Ends the check without a result.
-    void cancel()
-    {
-        this->handler = nullptr;
-        asio::error_code ignored;
-        this->socket.close(ignored);
-        this->timer.cancel();
-        if (this->connector)
-            this->connector->cancel();
-    }
-
-private:
-    void awaitEnd()
-    {
-        this->finishAfter(livenessHoldTime, true);
-        this->read();
-    }
-
-    void read()
-    {
-        this->socket.async_read_some(asio::buffer(this->inputBuffer), [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
-            if (!self->handler)
-                return;
-            const std::size_t contentSize = !error && self->frames ? self->frames->extractContent({ self->inputBuffer.data(), size }) : size;
-            if (error || (self->frames && self->frames->hasEnded()))
-                self->handleEnd();
-            else if (contentSize > 0)
-                self->finish(true);
-            else
-                self->read();
-        });
-    }
-
-    void handleEnd()
-    {
-        ++this->endedConnections;
-        if (this->endedConnections == maxEndedLivenessConnections) {
-            this->finish(false);
-            return;
-        }
-        asio::error_code ignored;
-        this->socket.close(ignored);
-        this->timer.expires_after(firstLivenessRetryDelay * (1U << (this->endedConnections - 1)));
-        this->timer.async_wait([self = this->shared_from_this()](const asio::error_code& error) {
-            if (!error && self->handler)
-                self->start();
-        });
-    }
-
-    void finishAfter(Duration delay, bool alive)
-    {
-        this->timer.expires_after(delay);
-        this->timer.async_wait([self = this->shared_from_this(), alive](const asio::error_code& error) {
-            if (!error)
-                self->finish(alive);
-        });
-    }
-
-    void finish(bool alive)
-    {
-        if (!this->handler)
-            return;
-        const std::shared_ptr<LivenessCheck> self = this->shared_from_this();
-        const std::function<void(bool)> completion = std::move(this->handler);
-        this->cancel();
-        this->owner.livenessChecks.erase(self);
-        completion(alive);
-    }
-
-    TargetConnections& owner;
-    std::string instance;
-    std::string address;
-    asio::ip::tcp::socket socket;
-    // Set while a connection is being established.
-    std::shared_ptr<TargetConnector> connector;
-    Timer timer;
-    std::function<void(bool)> handler;
-    // Set if the target is connected through a member that passes on in frames what it sends.
-    std::optional<TunnelFrameReader> frames;
-    std::array<char, tunnelFrameHeaderBytes + 1> inputBuffer {};
-    unsigned endedConnections { 0 };
-};
-
 TargetConnections::TargetConnections(asio::io_context& ioContext, HeaderNames names, TargetPaths& targetPaths, PathCallbacks pathCallbacks)
     : context(ioContext)
     , headerNames(std::move(names))
--- a/packages/proxy/tests/unit-cut-off.cpp
+++ b/packages/proxy/tests/unit-cut-off.cpp
@@ -84,7 +84,7 @@
 // A daemon of a release that passes the target's bytes on as they are: serves one connection and ends it after the bytes.
 class PlainMember {
 public:
-    PlainMember(asio::io_context& io, const std::string& address, std::function<std::string(const HttpMessage&)> respond)
+    PlainMember(asio::io_context& io, const std::string& address, const std::function<std::string(const HttpMessage&)>& respond)
         : acceptor(io, parseTcpEndpoint(address))
         , socket(io)
     {
--- a/packages/proxy/tests/unit-relays.cpp
+++ b/packages/proxy/tests/unit-relays.cpp
@@ -96,6 +96,7 @@
 {
     const auto setDomains = [this](const std::vector<std::string>& domains) {
         std::vector<FleetMember> members;
+        members.reserve(domains.size());
         for (const std::string& domain : domains)
             members.push_back({ "vm-" + domain, "127.0.0.1:1", domain, 10 });
         setMembers(fleet, members, Clock::now());
