--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -141,6 +141,7 @@
     void handleRelayResponse(const std::shared_ptr<FollowedRelay>&, const HttpResponse&);
     void publishChanges(StateKind, const std::vector<StateChange>&, const ChangeSource&);
     Duration storeContactAge() const;
+    // Returns the relays that this daemon polls: those of its domain in its own order or, at a relay, one other.
     std::vector<std::string> relaysToFollow(const std::vector<std::string>& relaysOfDomain) const;
     void scheduleRoleReview();
 
--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -24,7 +24,7 @@
     constexpr double idempotentReuseShare = 0.8;
     constexpr double nonIdempotentReuseShare = 0.6;
     constexpr std::size_t maxIdlePerInstance = 4;
-    // Interim responses and late ones to earlier requests that are passed over before the response. A target that goes on
+    // Interim responses and ones without the request's ID that are passed over before the response. A target that goes on
     // sending them would otherwise hold the request until its deadline.
     constexpr unsigned maxIgnoredResponses = 16;
     // Reads a decimal number without a sign or an exponent.
