Number each process's grant requests from a place of its own

Cause: a grant reply names its request by a number only, and each process of a daemon counted from 1. A dispatcher that wakes grants slots to the requests of a process that has ended meanwhile; the next process at that address took the replies for its own requests with the same numbers.

Change: the first number is a hash of VM and incarnation, as it was for requests for allotments' tokens. Replies to an ended process match no request, whichever release sends them; the messages are unchanged. Two tests of slot queries relied on the first number being 1 and read it from the pool or the datagram now; what they check is the same.

--- a/packages/proxy/include/flamingowick/proxy/Entry.h
+++ b/packages/proxy/include/flamingowick/proxy/Entry.h
@@ -116,6 +116,7 @@
 private:
     friend class ActiveRequest;
 
+    // Returns a number that no other grant request of any process at this address has.
     std::uint64_t nextNumber();
     // Reports the end of an attempt to its dispatcher: a member, or this daemon's hosted pools. Other names are
     // ignored.
@@ -144,7 +145,7 @@
     // Groups that refused requests lately.
     GroupRoom groupRoom;
     std::mt19937_64 random;
-    std::uint64_t lastNumber { 0 };
+    std::uint64_t lastNumber;
 };
 
 }
--- a/packages/proxy/src/Allotments.cpp
+++ b/packages/proxy/src/Allotments.cpp
@@ -1,6 +1,6 @@
 #include "flamingowick/proxy/Allotments.h"
 
-#include "flamingowick/model/StableHash.h"
+#include "MessageNumbers.h"
 
 #include <algorithm>
 
@@ -32,12 +32,6 @@
         return std::string("allotment/").append(organisation);
     }
 
-    // Leaves the upper bits for counting on.
-    std::uint64_t firstNumberOf(std::string_view vm, std::uint64_t incarnation)
-    {
-        return combineHashes(stableHash(vm), incarnation) >> 2U;
-    }
-
     AllotmentRequestMessage messageOf(const TokenRequest& request)
     {
         return { request.number, request.organisation, request.needed, request.ahead, request.returned };
@@ -64,7 +58,7 @@
     , tickTimer(io)
 {
     this->setBound({ settings.allotmentWindow, settings.allotmentOverage, settings.allotmentSlack });
-    this->user.lastNumber = firstNumberOf(settings.vm, incarnation);
+    this->user.lastNumber = firstMessageNumber(settings.vm, incarnation);
     this->handleFleetChange();
 }
 
--- a/packages/proxy/src/Entry.cpp
+++ b/packages/proxy/src/Entry.cpp
@@ -2,6 +2,7 @@
 
 #include "ActiveRequest.h"
 #include "CallerIdentity.h"
+#include "MessageNumbers.h"
 
 namespace flamingowick::proxy {
 
@@ -27,6 +28,7 @@
 Entry::Entry(EntryContext& entryContext)
     : context(entryContext)
     , random(entryContext.incarnation)
+    , lastNumber(firstMessageNumber(entryContext.settings.vm, entryContext.incarnation))
 {
 }
 
--- a/packages/proxy/tests/unit-slot-queries.cpp
+++ b/packages/proxy/tests/unit-slot-queries.cpp
@@ -16,13 +16,15 @@
     std::string peerAddress { freeAddress() };
     std::unique_ptr<PeerLink> peer;
     unsigned granted { 0 };
+    // Numbers of the grant requests that the peer has received.
+    std::set<std::uint64_t> requested;
     std::set<std::uint64_t> queried;
     std::set<std::uint64_t> ended;
 
     void startPeer(std::uint64_t incarnation)
     {
         PeerHandlers handlers;
-        handlers.onGrantRequest = [](const PeerSource&, const GrantRequestMessage&) {};
+        handlers.onGrantRequest = [this](const PeerSource&, const GrantRequestMessage& message) { requested.insert(message.number); };
         handlers.onGrantReply = [this](const PeerSource&, const GrantReplyMessage& reply) { granted += reply.kind == GrantReplyKind::Granted ? 1 : 0; };
         handlers.onAttemptEnd = [this](const PeerSource&, const AttemptEndMessage& message) { ended.insert(message.number); };
         handlers.onRunningAttempt = [](const PeerSource&, const RunningAttemptMessage&) {};
@@ -57,6 +59,13 @@
         CHECK(testBed.runUntil([&] { return granted > before; }));
     }
 
+    // Returns the attempt that occupies the only slot.
+    grants::AttemptId onlyAttempt() const
+    {
+        CHECK_EQUAL(1, occupiedSlots());
+        return testBed.proxies.front()->dispatcherHost().pools().find(group)->second.instanceByAttempt.begin()->first;
+    }
+
     std::size_t occupiedSlots() const { return testBed.proxies.front()->dispatcherHost().pools().find(group)->second.instanceByAttempt.size(); }
 
     void startWithTarget(ScriptedTarget::Script script)
@@ -87,12 +96,12 @@
     auto caller = testBed.connectCaller();
     caller->send(makeRequest("r1", "POST", "x", "9000"));
     CHECK(testBed.runUntil([&] { return testBed.targets.front()->requests.size() == 1; }));
-    // The first grant request of a daemon has number 1.
-    peer->send(testBed.settings.front().peerAddress, AttemptQueryMessage { 1 });
+    const std::uint64_t running = onlyAttempt().number;
+    peer->send(testBed.settings.front().peerAddress, AttemptQueryMessage { running });
     peer->send(testBed.settings.front().peerAddress, AttemptQueryMessage { 99 });
     CHECK(testBed.runUntil([&] { return ended.contains(99); }));
     testBed.runFor(milliseconds(100));
-    CHECK_FALSE(ended.contains(1));
+    CHECK_FALSE(ended.contains(running));
 }
 
 // Guards against the slots of a killed daemon's requests staying occupied.
@@ -121,5 +130,6 @@
     caller->send(makeRequest("r1", "POST", "x"));
     CHECK(testBed.runUntil([&] { return !caller->responses.empty(); }));
     CHECK_EQUAL(200, caller->responses.front().status);
-    CHECK(testBed.runUntil([&] { return ended.contains(1); }));
+    CHECK_EQUAL(1, requested.size());
+    CHECK(testBed.runUntil([&] { return ended.contains(*requested.begin()); }));
 }
