Decline a grant whose target belongs to another service

An entry used a granted target whatever its own list of targets said of the target's service.

The entry compares the services, frees the slot and asks again, as for a target that isn't listed. StaleMessages.GrantNoTargetOfAnotherService failed before (1 request at the other service) and passes.

--- a/packages/proxy/src/ActiveRequestGrants.cpp
+++ b/packages/proxy/src/ActiveRequestGrants.cpp
@@ -249,11 +249,14 @@
     recordGrant(this->entry.groupRoom, this->pendingGrant->group, this->priority);
     this->entry.pendingGrantRequests.erase(this->pendingGrant->number);
     this->pendingGrant.reset();
-    if (!acceptsRequests(this->context.directory, decision.instance, Clock::now())) {
+    const auto known = this->context.directory.entries.find(decision.instance);
+    const bool isListed = known != this->context.directory.entries.end();
+    const bool isForeign = isListed && known->second.entry.service != this->service;
+    if (isForeign || !acceptsRequests(this->context.directory, decision.instance, Clock::now())) {
         // The dispatcher's list is out of date, or the target holds off this daemon, which others don't know.
-        const auto known = this->context.directory.entries.find(decision.instance);
-        const bool heldOff = known != this->context.directory.entries.end() && isHeldOff(known->second, Clock::now());
-        this->context.log.write(EventScope::Request, "entry", "grant-declined", EventFields().text("request", this->requestId).text("target", decision.instance).text("dispatcher", dispatcher).text("reason", heldOff ? "held-off" : "not-listed"));
+        const bool isHeldOffHere = isListed && isHeldOff(known->second, Clock::now());
+        const std::string_view reason = isForeign ? "other-service" : isHeldOffHere ? "held-off" : "not-listed";
+        this->context.log.write(EventScope::Request, "entry", "grant-declined", EventFields().text("request", this->requestId).text("target", decision.instance).text("dispatcher", dispatcher).text("reason", reason));
         this->reportAttemptEnd(attempt, AttemptOutcome::Abandoned, Duration::zero());
         this->triedInstances.push_back(decision.instance);
         this->requestGrant(isRetry);
--- a/packages/proxy/tests/unit-stale-messages.cpp
+++ b/packages/proxy/tests/unit-stale-messages.cpp
@@ -157,3 +157,23 @@
     CHECK_EQUAL(200, caller->responses.front().status);
     CHECK_EQUAL(1, testBed.targets.at(1)->requests.size());
 }
+
+// Guards against requests that run at another service because their dispatcher believes a target to be of their own.
+TEST(StaleMessages, GrantNoTargetOfAnotherService)
+{
+    ScriptedTarget& stock = testBed.addTarget(respondWell);
+    testBed.start(1, false, seconds(10));
+    addSecondService();
+    startPeer(77);
+    joinPeerAsDispatcherOf(std::array<std::string_view, 1> { "orders/0/1" });
+    auto caller = testBed.connectCaller();
+    caller->send(orderOf("r1"));
+    CHECK(testBed.runUntil([&] { return !peer.grantRequests.empty(); }));
+    const std::uint64_t number = peer.grantRequests.back().number;
+    grant(number, "i-1");
+    CHECK(testBed.runUntil([&] { return peer.grantRequests.back().number != number || !stock.requests.empty(); }));
+    CHECK_EQUAL(0, stock.requests.size());
+    grant(peer.grantRequests.back().number, "i-2");
+    CHECK(testBed.runUntil([&] { return !caller->responses.empty(); }));
+    CHECK_EQUAL(200, caller->responses.front().status);
+}
