Drop late messages of a process that has ended

A grant request or a running attempt of an ended process that arrives after the first message of the next one occupied a slot that nobody freed before its age did; a late farewell marked the next process as leaving, so that its groups went to other dispatchers.

Such messages are dropped for 2 s after the restart was noticed. An incarnation that is heard later than that counts as the present one, so that a mistaken order of two processes ends with it. StaleMessages.OccupyNoSlots (2 slots occupied, 1 expected) and StaleMessages.DoNotMarkTheNextProcessAsLeaving failed before and pass.

--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -95,6 +95,8 @@
     void scheduleDirectoryExpiry();
     void scheduleProbes();
     void handleFleetChange();
+    // Whether the datagram's process was followed by another one at its address. Forgotten once late datagrams have arrived.
+    bool isFromEndedProcess(const PeerSource&) const;
     void recordPeerContact(const PeerSource&);
     void handleGrantRequest(const PeerSource&, const GrantRequestMessage&);
     // Records a target's limit, and tells the daemons that dispatch for the target or would take over.
@@ -141,6 +143,8 @@
     struct PeerIncarnations {
         std::uint64_t current { 0 };
         std::uint64_t ended { 0 };
+        // When the peer's restart was noticed.
+        TimePoint endedAt {};
     };
     // By address.
     std::unordered_map<std::string, PeerIncarnations> peerIncarnations;
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -30,6 +30,8 @@
     constexpr unsigned maxMonitoringConnections = 32;
     // Daemons that are told of a target's limit: its dispatcher, and those that take over when it and the next one end.
     constexpr std::size_t limitKeeperCount = 3;
+    // How long datagrams of a process that has ended may arrive after the first one of the next.
+    constexpr Duration maxDatagramDelay { std::chrono::seconds(2) };
 
     DispatcherCallbacks makeDispatcherCallbacks(std::function<void(const grants::Decision&)> deliverDecision, std::function<void(const grants::AttemptId&)> queryAttempt, const TargetDirectory& directory)
     {
@@ -313,6 +315,8 @@
         this->hostedPools->attemptEnded(message.group, { source.incarnation, message.number }, message.outcome, message.duration);
     };
     handlers.onRunningAttempt = [this](const PeerSource& source, const RunningAttemptMessage& message) {
+        if (this->isFromEndedProcess(source))
+            return;
         this->entryAddresses[source.incarnation] = source.address;
         this->hostedPools->attemptRunning({ source.incarnation, message.number }, message);
     };
@@ -407,6 +411,12 @@
     return callbacks;
 }
 
+bool Proxy::isFromEndedProcess(const PeerSource& source) const
+{
+    const auto known = this->peerIncarnations.find(source.address);
+    return known != this->peerIncarnations.end() && source.incarnation == known->second.ended && Clock::now() - known->second.endedAt < maxDatagramDelay;
+}
+
 void Proxy::recordPeerContact(const PeerSource& source)
 {
     const std::string name(memberNameAt(this->fleet, source.address));
@@ -419,10 +429,10 @@
         this->handleFleetChange();
     }
     PeerIncarnations& incarnations = this->peerIncarnations[source.address];
-    // A datagram of the incarnation that has ended may arrive after the first one of the next.
-    if (source.incarnation == incarnations.current || source.incarnation == incarnations.ended)
+    if (source.incarnation == incarnations.current || this->isFromEndedProcess(source))
         return;
     incarnations.ended = incarnations.current;
+    incarnations.endedAt = Clock::now();
     incarnations.current = source.incarnation;
     if (incarnations.ended != 0) {
         this->hostedPools->handleEntryRestart(incarnations.ended);
@@ -434,6 +444,9 @@
 
 void Proxy::handleGrantRequest(const PeerSource& source, const GrantRequestMessage& message)
 {
+    // Nobody would use the slot or report that it is free.
+    if (this->isFromEndedProcess(source))
+        return;
     this->entryAddresses[source.incarnation] = source.address;
     this->recordPeerContact(source);
     const grants::AttemptId attemptId = message.request.attemptId;
@@ -457,7 +470,7 @@
 
 void Proxy::handlePresence(const PeerSource& source, const PresenceMessage& message)
 {
-    if (message.name.empty() || message.name == this->settings.vm)
+    if (message.name.empty() || message.name == this->settings.vm || this->isFromEndedProcess(source))
         return;
     const auto known = this->fleet.members.find(message.name);
     if (message.leaving) {
--- a/packages/proxy/tests/unit-stale-messages.cpp
+++ b/packages/proxy/tests/unit-stale-messages.cpp
@@ -158,6 +158,50 @@
     CHECK_EQUAL(1, testBed.targets.at(1)->requests.size());
 }
 
+// Guards against slots that stay occupied because a grant request of an ended process arrives after the first message of the next.
+TEST(StaleMessages, OccupyNoSlots)
+{
+    testBed.addTarget(respondWell);
+    testBed.start(1, false, seconds(10));
+    startPeer(77);
+    joinPeer();
+    requestGrant(5);
+    CHECK(testBed.runUntil([&] { return peer.grantedNumbers.contains(5); }));
+    startPeer(78);
+    requestGrant(5001);
+    CHECK(testBed.runUntil([&] { return peer.grantedNumbers.contains(5001); }));
+    CHECK_EQUAL(1, occupiedSlots());
+    startPeer(77);
+    requestGrant(6);
+    peer.link->send(testBed.settings.front().peerAddress, RunningAttemptMessage { 7, "stock/0/1", "i-1", milliseconds(1), 0, 0 });
+    awaitHandled();
+    CHECK_EQUAL(1, occupiedSlots());
+}
+
+// Guards against a daemon that is passed over because the last message of its ended process arrives late.
+TEST(StaleMessages, DoNotMarkTheNextProcessAsLeaving)
+{
+    testBed.addTarget(respondWell);
+    testBed.start(1, false, seconds(10));
+    const auto isLeaving = [this] { return testBed.proxies.front()->fleetState().members.at(peerName).leaving; };
+    const auto announce = [this](bool leaving) { peer.link->send(testBed.settings.front().peerAddress, PresenceMessage { peerName, peerAddress, leaving, false, "a", 0 }); };
+    startPeer(77);
+    joinPeer();
+    announce(false);
+    awaitHandled();
+    startPeer(78);
+    announce(false);
+    awaitHandled();
+    startPeer(77);
+    announce(true);
+    awaitHandled();
+    CHECK_FALSE(isLeaving());
+    startPeer(78);
+    announce(true);
+    awaitHandled();
+    CHECK(isLeaving());
+}
+
 // Guards against requests that run at another service because their dispatcher believes a target to be of their own.
 TEST(StaleMessages, GrantNoTargetOfAnotherService)
 {
