--- a/packages/proxy/include/flamingowick/proxy/StateCache.h
+++ b/packages/proxy/include/flamingowick/proxy/StateCache.h
@@ -33,6 +33,8 @@
 struct StateChange {
     StateObject object;
     bool removed { false };
+    // Of an applied change: the revision that the object had in the cache before; 0 if there was none.
+    std::uint64_t earlierRevision { 0 };
 };
 
 // All objects of one kind.
--- a/packages/proxy/src/StateCache.cpp
+++ b/packages/proxy/src/StateCache.cpp
@@ -1,6 +1,7 @@
 #include "flamingowick/proxy/StateCache.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace flamingowick::proxy {
@@ -25,28 +26,29 @@
         return std::any_of(cache.changeLog.begin(), cache.changeLog.end(), [&removed](const auto& entry) { return entry.second == removed.name && entry.first >= removed.revision; });
     }
 
-    // Returns whether the change was not contained before.
-    bool applyChange(KindCache& cache, std::uint64_t revision, const StateChange& change)
+    // Returns the revision that the object had before, 0 if there was none, or nothing if the change was contained already.
+    std::optional<std::uint64_t> applyChange(KindCache& cache, std::uint64_t revision, const StateChange& change)
     {
         const auto known = cache.objects.find(change.object.name);
+        const std::uint64_t earlierRevision = known == cache.objects.end() ? 0 : known->second.revision;
         if (change.removed) {
             if (known == cache.objects.end()) {
                 // A peer may know the object from another sender.
                 if (!isInChangeLog(cache, change.object))
                     appendToChangeLog(cache, revision, change.object.name);
-                return false;
+                return std::nullopt;
             }
             // A removal older than the known object concerns an earlier object of the same name.
             if (known->second.revision > change.object.revision)
-                return false;
+                return std::nullopt;
             cache.objects.erase(known);
         } else {
             if (known != cache.objects.end() && known->second.revision >= change.object.revision)
-                return false;
+                return std::nullopt;
             cache.objects.insert_or_assign(change.object.name, change.object);
         }
         appendToChangeLog(cache, revision, change.object.name);
-        return true;
+        return earlierRevision;
     }
 
     // Applies changes of a sender that is not behind the cache.
@@ -54,8 +56,10 @@
     {
         std::vector<StateChange> applied;
         for (const StateChange& change : changes) {
-            if (applyChange(cache, revision, change))
+            if (const std::optional<std::uint64_t> earlierRevision = applyChange(cache, revision, change)) {
                 applied.push_back(change);
+                applied.back().earlierRevision = *earlierRevision;
+            }
         }
         cache.seenRevision = revision;
         return applied;
