Count the memory that responses take, not their bytes on the wire

Other operators report a target whose bytes without end took a machine out of memory.

Cause: the bound of 64 MiB counted bytes as they arrive. A header field of two bytes takes 64 in memory, and a body that grows up to twice its size.

Change: what is being received counts with what is allocated for it.

EndlessResponses.OfManyHeaderFieldsHoldBoundedMemory (96 MB held, bound 64 MiB) and CountTheMemoryThatIsAllocatedForThem failed before and pass. ThroughAnotherDaemonAreCutOff and ToALivenessCheckAreCutOff rule the fault out on those paths; they passed before.

--- a/packages/proxy/include/flamingowick/proxy/HttpMessage.h
+++ b/packages/proxy/include/flamingowick/proxy/HttpMessage.h
@@ -80,8 +80,9 @@
     // Whether any byte of the current message has been parsed.
     bool hasStarted() const noexcept { return this->messageStarted; }
     bool hasCompleteHeaders() const noexcept { return this->headersCompleted; }
-    // Bytes of the current message's header and body that are held.
-    std::uint64_t heldBytes() const noexcept { return this->headerBytes + this->currentMessage.body.size(); }
+    // Memory that the current message's header and body take: a header field of few bytes takes many times as much, and a body that grows
+    // up to twice as much.
+    std::uint64_t heldBytes() const noexcept;
     HttpMessage& message() noexcept { return this->currentMessage; }
 
 private:
--- a/packages/proxy/src/HttpMessage.cpp
+++ b/packages/proxy/src/HttpMessage.cpp
@@ -125,6 +125,12 @@
         this->readState = ReadState::Complete;
 }
 
+std::uint64_t MessageReader::heldBytes() const noexcept
+{
+    const std::string& body = this->currentMessage.body;
+    return this->headerBytes + this->currentMessage.headers.capacity() * sizeof(Header) + (body.empty() ? 0 : body.capacity());
+}
+
 bool MessageReader::addHeaderBytes(std::size_t size)
 {
     this->headerBytes += size;
--- a/packages/proxy/tests/unit-endless-responses.cpp
+++ b/packages/proxy/tests/unit-endless-responses.cpp
@@ -125,6 +125,94 @@
     CHECK_EQUAL(0, connections.heldResponseBytes());
 }
 
+// Guards against header fields that are few bytes each, but take more memory than they count.
+TEST(EndlessResponses, OfManyHeaderFieldsHoldBoundedMemory)
+{
+    constexpr unsigned attempts = 100;
+    std::string fields;
+    while (fields.size() < 60'000)
+        fields += "a:\r\n";
+    ScriptedTarget& stalled = testBed.addTarget([&fields](const HttpMessage& received) { return responseStart(received, fields); });
+    TargetPaths paths;
+    TargetConnections connections(testBed.io, testHeaders(), paths, { [](std::span<const std::string>) { return std::nullopt; }, [] { /* Nothing depends on the paths. */ } });
+    unsigned broken = 0;
+    for (unsigned number = 0; number < attempts; ++number) {
+        AttemptSpec spec;
+        spec.instance = "i";
+        spec.address = stalled.address();
+        spec.requestId = "r" + std::to_string(number);
+        spec.requestBytes = makeRequest(spec.requestId);
+        connections.start(std::move(spec), [&broken](const AttemptResult& result) { broken += result.reason == "responses-too-large" ? 1 : 0; });
+    }
+    CHECK(testBed.runUntil([&] { return stalled.requests.size() == attempts; }));
+    testBed.runFor(milliseconds(300));
+    const std::uint64_t bytesEach = fields.size() / 4 * sizeof(Header);
+    CHECK_COMPARE((attempts - broken) * bytesEach, <=, TargetConnections::maxHeldResponseBytes);
+}
+
+// Guards against a bound on memory that counts only a part of it.
+TEST(EndlessResponses, CountTheMemoryThatIsAllocatedForThem)
+{
+    MessageReader reader(MessageReader::Kind::Responses, {});
+    CHECK_EQUAL(0U, reader.heldBytes());
+    std::string fields;
+    while (fields.size() < 60'000)
+        fields += "a:\r\n";
+    reader.parse("HTTP/1.1 200 OK\r\n" + fields + "\r\n");
+    CHECK_COMPARE(reader.heldBytes(), >=, reader.message().headers.capacity() * sizeof(Header));
+    const std::string block(16U << 10U, 'a');
+    for (unsigned count = 0; count < 300; ++count) {
+        reader.parse(block);
+        CHECK_COMPARE(reader.heldBytes(), >=, reader.message().headers.capacity() * sizeof(Header) + reader.message().body.capacity());
+    }
+    CHECK(reader.state() == ReadState::Incomplete);
+}
+
+// Guards against the same where a target is reached through another daemon, whose memory counts as well.
+TEST(EndlessResponses, ThroughAnotherDaemonAreCutOff)
+{
+    ScriptedTarget& endless = testBed.addTarget([](const HttpMessage& received) { return responseStart(received, "\r\n"); });
+    endless.endlessBytes = blockOf("a");
+    testBed.start(2, false, seconds(20));
+    std::vector<TargetEntry> unreachable = testBed.entries;
+    unreachable.front().target.address = freeAddress();
+    testBed.proxies.front()->applyTargetChanges(unreachable, {});
+    auto caller = testBed.connectCaller();
+    caller->send(makeRequest("r1", "POST", "x", "20000"));
+    CHECK(testBed.runUntil([&] { return !caller->responses.empty(); }));
+    CHECK_EQUAL(502, caller->responses.front().status);
+    CHECK(testBed.runUntil([&] { return endless.endlessResponsesClosed > 0; }));
+    CHECK_COMPARE(endless.endlessBytesSent, <, mostBytesRead);
+    CHECK_COMPARE(testBed.proxies.back()->renderMetrics().find("flamingowick_tunnels_open 0"), !=, std::string::npos);
+}
+
+// Whether a target lives is found out on a connection of its own, without a request.
+TEST(EndlessResponses, ToALivenessCheckAreCutOff)
+{
+    const std::string address = freeAddress();
+    asio::ip::tcp::acceptor acceptor(testBed.io, parseTcpEndpoint(address));
+    asio::ip::tcp::socket socket(testBed.io);
+    const std::string block = blockOf("no answer");
+    std::uint64_t sent = 0;
+    bool closed = false;
+    const std::function<void()> writeWithoutEnd = [&] {
+        asio::async_write(socket, asio::buffer(block), [&](const asio::error_code& error, std::size_t size) {
+            sent += size;
+            closed = static_cast<bool>(error);
+            if (!closed)
+                writeWithoutEnd();
+        });
+    };
+    acceptor.async_accept(socket, [&](const asio::error_code&) { writeWithoutEnd(); });
+    TargetPaths paths;
+    TargetConnections connections(testBed.io, testHeaders(), paths, { [](std::span<const std::string>) { return std::nullopt; }, [] { /* Nothing depends on the paths. */ } });
+    std::optional<bool> alive;
+    connections.checkAlive("i", address, [&alive](bool result) { alive = result; });
+    CHECK(testBed.runUntil([&] { return alive.has_value() && closed; }));
+    CHECK(*alive);
+    CHECK_COMPARE(sent, <, mostBytesRead);
+}
+
 // The store and relays are read by another client.
 TEST(EndlessResponses, OfTheStoreAreCutOff)
 {
