Bound the header of an answer on the product's own interface

A target that sends header fields without end, in a header, in interim answers or behind a chunked body, filled the memory of a daemon that serves the product's own interface until the deadline: only bodies had a bound.

An answer's header, interim ones and trailer have 64 KiB together; the answer of a target that sends more is a bad one. TargetClient.EndsAnAnswerWithTooManyHeaderFields failed before (an answer with 200 KB of fields counted as whole) and passes.

--- a/packages/gateway/src/TargetClient.cpp
+++ b/packages/gateway/src/TargetClient.cpp
@@ -19,6 +19,8 @@
     constexpr int pollLimitMs = 1000;
     constexpr long connectionCacheSize = 2000;
     constexpr std::size_t reservedHandles = 64;
+    // Of an answer's header, its interim ones and its trailer together.
+    constexpr std::size_t maxHeaderBytes = 64U << 10U;
 
     struct CancelCommand {
         std::uint64_t attempt { 0 };
@@ -41,6 +43,7 @@
         // Times that libcurl was about to send the request. The second is its own silent resend on
         // a new connection, which is refused.
         unsigned sends { 0 };
+        std::size_t headerBytes { 0 };
         bool tooLarge { false };
         bool framed { false };
         // The empty line after the last header was received.
@@ -92,6 +95,11 @@
     {
         auto* transfer = static_cast<Transfer*>(context);
         std::string_view line(data, size * count);
+        transfer->headerBytes += line.size();
+        if (transfer->headerBytes > maxHeaderBytes) {
+            transfer->tooLarge = true;
+            return 0;
+        }
         if (line.starts_with("HTTP/")) {
             transfer->result.headers.clear();
             transfer->framed = false;
--- a/packages/gateway/tests/unit-gateway.cpp
+++ b/packages/gateway/tests/unit-gateway.cpp
@@ -243,3 +243,21 @@
     ScriptedTarget target({ "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x') });
     CHECK(attempts.run(target.address(), "GET", "").end == AttemptEnd::BadAnswer);
 }
+
+// Guards against a target that fills the memory with header fields, before or behind the body: each answer ends properly.
+TEST(TargetClient, EndsAnAnswerWithTooManyHeaderFields)
+{
+    SingleAttempts attempts;
+    std::string fields;
+    while (fields.size() < 200'000)
+        fields += "X-More: a\r\n";
+    std::string interim;
+    while (interim.size() < 200'000)
+        interim += "HTTP/1.1 102 Processing\r\nX-More: a\r\n\r\n";
+    for (const std::string& answer : { "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + fields + "\r\n", interim + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }) {
+        ScriptedTarget target({ answer });
+        AttemptResult result = attempts.run(target.address(), "GET", "");
+        CHECK(result.end == AttemptEnd::BadAnswer);
+        CHECK_COMPARE(result.headers.size(), <, 10'000U);
+    }
+}
