Begin nothing in a planned stop that would be cut off at its end

Other operators report that requests which came late in the grace of a planned stop were passed on and cut with no answer, among them such as may not be repeated (LOST). It could happen here: a request that waited for a slot began 0.45 s before the end and was cut off; requests were taken until a timer closed the connections, and with a grace of 3 s or less nothing closed them.

Cause: the end of waits looked at the grace only, not at the time that an attempt takes; whether requests are taken depended on a timer.

Change: StopSchedule, free functions over the grace and the begin of the stop, says when requests are taken, attempts may begin, and the rest is broken off. After 3 s, or half of a shorter grace, a request that is read gets 503 `stopping`, an attempt begins only if what is left covers the route's latency objective, and waiting requests are answered as soon as it doesn't. 150 ms before the end requests at targets get 502 instead of a closed connection; the process ends once it is sent, 50 ms before the end at the latest.

--- a/packages/proxy/include/flamingowick/proxy/Entry.h
+++ b/packages/proxy/include/flamingowick/proxy/Entry.h
@@ -7,6 +7,7 @@
 #include "flamingowick/proxy/GroupRoom.h"
 #include "flamingowick/proxy/PeerLink.h"
 #include "flamingowick/proxy/RequestQuarantine.h"
+#include "flamingowick/proxy/StopSchedule.h"
 #include "flamingowick/proxy/TargetConnections.h"
 #include "flamingowick/proxy/TargetDirectory.h"
 #include "flamingowick/telemetry/EventLog.h"
@@ -52,6 +53,7 @@
     RequestQuarantine& quarantine;
     telemetry::EventLog& log;
     telemetry::Metrics& metrics;
+    const StopSchedule& stopSchedule;
     // Identifies this incarnation of the daemon.
     std::uint64_t incarnation { 0 };
     // With which the digests of the configuration's keys were made.
@@ -87,10 +89,13 @@
     // the active requests.
     void handleConfigurationChange();
 
-    // Responds to the requests that wait for a slot or a token, because the daemon ends before they can be served. Linear in the
-    // active requests.
+    // Responds to the requests that wait for a slot or a token and can't begin an attempt any more, because the daemon ends before they
+    // would be served. Linear in the active requests.
     void endWaits();
 
+    // Responds to all requests that have no response: an attempt in flight may or may not have run. Linear in the active requests.
+    void breakOff();
+
     // Handles the end of the wait for a token of an organisation's allotment.
     void handleAllotmentDecision(std::uint64_t request, const AllotmentDecision&);
 
--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -91,6 +91,7 @@
     std::string renderMetrics();
 
 private:
+    bool isStopping() const noexcept { return this->stopSchedule.beganAt.has_value(); }
     void applyDirectoryChange(const DirectoryChange&);
     void scheduleDirectoryExpiry();
     void scheduleProbes();
@@ -166,8 +167,7 @@
     Timer stopTimer;
     Timer flushTimer;
     bool logFlushScheduled { false };
-    bool stopping { false };
-    TimePoint stopStartedAt;
+    StopSchedule stopSchedule;
     std::function<void()> onStopped;
     // Expires with the proxy; posted handlers check it before they use the proxy.
     std::shared_ptr<char> lifetimeToken { std::make_shared<char>() };
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -516,13 +516,30 @@
 
 void ActiveRequest::endWait()
 {
-    if (this->completed || !this->attempts.empty())
+    if (!this->completed && this->attempts.empty() && !this->mayBeginAttempt())
+        this->respondStopping();
+}
+
+void ActiveRequest::breakOff()
+{
+    if (this->completed)
         return;
+    this->mayHaveExecuted = this->mayHaveExecuted || !this->attempts.empty();
+    this->respondStopping();
+}
+
+void ActiveRequest::respondStopping()
+{
     if (!this->mayHaveExecuted)
         this->lastFailureReason = "stopping";
     this->respondWithFailure(milliseconds(0));
 }
 
+bool ActiveRequest::mayBeginAttempt() const
+{
+    return proxy::mayBeginAttempt(this->context.stopSchedule, this->route.latencyObjective, Clock::now());
+}
+
 void ActiveRequest::onTimer()
 {
     if (this->completed)
--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -30,9 +30,13 @@
     // Handles the reply to the pending grant request; ignores replies to earlier ones.
     void handleGrantReply(const std::string& dispatcher, const GrantReplyMessage&);
 
-    // Responds if no attempt is in flight: with the failure of the last one, or that the request has not run.
+    // Responds if no attempt is in flight and none may begin before the daemon ends: with the failure of the last one, or that the
+    // request has not run.
     void endWait();
 
+    // As Entry::breakOff().
+    void breakOff();
+
     // Appends the attempts that are in flight in the group, or in all groups when the group is empty.
     void appendRunningAttempts(std::string_view group, std::vector<RunningAttemptMessage>&) const;
 
@@ -104,6 +108,10 @@
     // Cancels the pending grant request, if any, at its dispatcher.
     void abandonGrantRequest();
     void handleGranted(const grants::Decision&, const std::string& dispatcher);
+    // Whether the daemon, if it stops, gives an attempt that begins now enough time.
+    bool mayBeginAttempt() const;
+    // Responds with the failure of the last attempt, or that the request has not run since the daemon stops.
+    void respondStopping();
     void handleRefused(const grants::Decision&, const std::string& dispatcher);
     bool hasUntriedTarget() const;
     // Responds if the request is refused because it crashes its targets. Returns whether it did.
--- a/packages/proxy/src/ActiveRequestGrants.cpp
+++ b/packages/proxy/src/ActiveRequestGrants.cpp
@@ -254,8 +254,11 @@
     const bool isForeign = isListed && known->second.entry.service != this->service;
     if (isForeign || !acceptsRequests(this->context.directory, decision.instance, Clock::now())) {
         // The dispatcher's list is out of date, or the target holds off this daemon, which others don't know.
-        const bool isHeldOffHere = isListed && isHeldOff(known->second, Clock::now());
-        const std::string_view reason = isForeign ? "other-service" : isHeldOffHere ? "held-off" : "not-listed";
+        std::string_view reason = "not-listed";
+        if (isForeign)
+            reason = "other-service";
+        else if (isListed && isHeldOff(known->second, Clock::now()))
+            reason = "held-off";
         this->context.log.write(EventScope::Request, "entry", "grant-declined", EventFields().text("request", this->requestId).text("target", decision.instance).text("dispatcher", dispatcher).text("reason", reason));
         this->reportAttemptEnd(attempt, AttemptOutcome::Abandoned, Duration::zero());
         this->triedInstances.push_back(decision.instance);
@@ -269,6 +272,12 @@
             this->respondIfQuarantined();
         return;
     }
+    if (!this->mayBeginAttempt()) {
+        this->reportAttemptEnd(attempt, AttemptOutcome::Abandoned, Duration::zero());
+        if (this->attempts.empty())
+            this->respondStopping();
+        return;
+    }
     this->sendAttempt(decision, dispatcher);
 }
 
--- a/packages/proxy/src/Entry.cpp
+++ b/packages/proxy/src/Entry.cpp
@@ -12,6 +12,8 @@
     // later one, is unavailable.
     constexpr std::string_view startingRetryAfter = "0.250";
     constexpr std::string_view staleRetryAfter = "1.000";
+    // Of a daemon that stops; others take the request at once.
+    constexpr std::string_view stoppingRetryAfter = "0.000";
 
     void respondPlain(CallerExchange& caller, unsigned status, std::string_view reason, std::vector<Header> headers = {})
     {
@@ -74,6 +76,13 @@
         respondPlain(*caller, 503, "starting", { { "Retry-After", std::string(startingRetryAfter) } });
         return;
     }
+    // A request that was passed on now could be cut off.
+    if (!takesRequests(this->context.stopSchedule, Clock::now())) {
+        this->context.log.write(telemetry::EventScope::Request, "entry", "not-routed", fields.text("reason", "stopping"));
+        this->context.metrics.increment("flamingowick_requests_total", "service=\"\",status=\"503\"");
+        respondPlain(*caller, 503, "stopping", { { this->context.settings.headers.requestId, std::string(id) }, { "Retry-After", std::string(stoppingRetryAfter) } });
+        return;
+    }
     const Route* route = applied->routes.find(headerValue(request, "host"), request.target);
     if (!route) {
         this->context.log.write(telemetry::EventScope::Request, "entry", "not-routed",
@@ -135,6 +144,12 @@
         active->endWait();
 }
 
+void Entry::breakOff()
+{
+    for (const std::shared_ptr<ActiveRequest>& active : this->copyActiveRequests())
+        active->breakOff();
+}
+
 void Entry::handleAllotmentDecision(std::uint64_t request, const AllotmentDecision& decision)
 {
     const auto waiting = this->waitingForTokens.find(request);
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -15,16 +15,9 @@
 
     // Log lines are buffered for this long, so that one write contains many.
     constexpr Duration flushInterval { milliseconds(100) };
-    // The load balancer checks the readiness once a second and sends no more callers after two failed checks.
-    constexpr Duration minStopDuration { milliseconds(2800) };
-    // After this time the load balancer sends no more callers, so idle connections are closed and no new ones accepted: a
-    // later request could not be finished in time.
-    constexpr Duration acceptDurationWhileStopping { milliseconds(3000) };
-    // Time that is left for an orderly exit before the platform kills the process.
-    constexpr Duration stopMargin { milliseconds(150) };
     constexpr Duration stopCheckInterval { milliseconds(100) };
-    // Time before the end of the grace at which requests without an attempt in flight are answered, for the responses to be sent.
-    constexpr Duration waitEndMargin { milliseconds(500) };
+    // The same once the last responses are being sent.
+    constexpr Duration lastStopCheckInterval { milliseconds(10) };
     // Leaves file descriptors for targets, peers and the store.
     constexpr unsigned maxCallerConnections = 3000;
     constexpr unsigned maxMonitoringConnections = 32;
@@ -52,6 +45,7 @@
     , flushTimer(ioContext)
 {
     this->directory.limits.lapseGrace = this->settings.lapseGrace;
+    this->stopSchedule.grace = this->settings.stopGrace;
     this->fleet.self = this->settings.vm;
     addMember(this->fleet, { this->settings.vm, this->settings.peerAddress, this->settings.failureDomain, this->settings.linkMbps }, Clock::now());
     this->peers = std::make_unique<PeerLink>(this->io, this->settings.peerAddress, this->ownIncarnation, this->makePeerHandlers());
@@ -71,7 +65,7 @@
     };
     const auto handleTargetLimit = [this](const TargetLimitMessage& message) { this->spreadTargetLimit(message); };
     const auto handleTargetLeaving = [this](std::string_view instance, std::int64_t startedAt) { this->applyDirectoryChange(markLeaving(this->directory, instance, startedAt)); };
-    this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->appliedConfiguration, this->directory, this->fleet, *this->peers, *this->hostedPools, *this->localPools, *this->links, this->paths, *this->quarantine, this->log, this->metrics, this->ownIncarnation, this->ownDigestKey, *this->allotments, this->organisationLabels, handleMemberSuspected, handleTargetLeaving, handleTargetLimit });
+    this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->appliedConfiguration, this->directory, this->fleet, *this->peers, *this->hostedPools, *this->localPools, *this->links, this->paths, *this->quarantine, this->log, this->metrics, this->stopSchedule, this->ownIncarnation, this->ownDigestKey, *this->allotments, this->organisationLabels, handleMemberSuspected, handleTargetLeaving, handleTargetLimit });
     this->entry = std::make_unique<Entry>(*this->context);
     const auto limits = [this] { return this->appliedConfiguration ? this->appliedConfiguration->configuration.limits : CallerLimits {}; };
     this->readinessServer = std::make_unique<CallerServer>(this->io, this->settings.readyAddress, maxMonitoringConnections,
@@ -127,7 +121,7 @@
 
 bool Proxy::isReady() const noexcept
 {
-    return !this->stopping && this->appliedConfiguration && this->targetsKnown;
+    return !this->isStopping() && this->appliedConfiguration && this->targetsKnown;
 }
 
 void Proxy::scheduleLogFlush()
@@ -490,7 +484,7 @@
         // A daemon that has just started knows no refusals and no limits.
         this->quarantine->sendRefusalsTo(source.address);
         this->sendLimitsTo(source.address);
-        this->peers->send(source.address, this->presenceMessage(this->stopping, false));
+        this->peers->send(source.address, this->presenceMessage(this->isStopping(), false));
     }
     this->scheduleLogFlush();
 }
@@ -544,7 +538,7 @@
         if (error)
             return;
         for (const std::string& name : scheduleDueProbes(this->fleet, Clock::now()))
-            this->peers->send(this->fleet.members.at(name).address, this->presenceMessage(this->stopping, true));
+            this->peers->send(this->fleet.members.at(name).address, this->presenceMessage(this->isStopping(), true));
         this->scheduleProbes();
     });
 }
@@ -594,10 +588,9 @@
 
 void Proxy::beginStop(std::function<void()> stopped)
 {
-    if (this->stopping)
+    if (this->isStopping())
         return;
-    this->stopping = true;
-    this->stopStartedAt = Clock::now();
+    this->stopSchedule.beganAt = Clock::now();
     this->onStopped = std::move(stopped);
     this->fleet.isSelfLeaving = true;
     this->allotments->handleFleetChange();
@@ -610,20 +603,24 @@
 
 void Proxy::checkStopProgress()
 {
-    const Duration passed = Clock::now() - this->stopStartedAt;
-    const bool idle = this->entry->activeRequestCount() == 0 && this->callerServer->servingCount() == 0 && this->tunnelServer->openTunnels() == 0;
-    if (passed >= acceptDurationWhileStopping)
+    const TimePoint now = Clock::now();
+    if (!takesRequests(this->stopSchedule, now)) {
         this->callerServer->closeIdle();
-    if (passed >= this->settings.stopGrace - waitEndMargin)
         this->entry->endWaits();
-    if ((idle && passed >= minStopDuration) || passed >= this->settings.stopGrace - stopMargin) {
-        this->log.write(EventScope::Process, "daemon", "stopped", EventFields().number("running", static_cast<std::int64_t>(this->entry->activeRequestCount())).milliseconds("tookMs", passed));
+    }
+    const auto running = static_cast<std::int64_t>(this->entry->activeRequestCount());
+    const bool breaksOff = mustBreakOff(this->stopSchedule, now);
+    if (breaksOff)
+        this->entry->breakOff();
+    const bool isIdle = this->entry->activeRequestCount() == 0 && this->callerServer->servingCount() == 0 && (breaksOff || this->tunnelServer->openTunnels() == 0);
+    if ((isIdle && mayExitIdle(this->stopSchedule, now)) || mustExit(this->stopSchedule, now)) {
+        this->log.write(EventScope::Process, "daemon", "stopped", EventFields().number("running", running).milliseconds("tookMs", now - *this->stopSchedule.beganAt));
         this->log.flush();
         this->callerServer->closeIdle();
         this->onStopped();
         return;
     }
-    this->stopTimer.expires_after(stopCheckInterval);
+    this->stopTimer.expires_after(breaksOff ? lastStopCheckInterval : stopCheckInterval);
     this->stopTimer.async_wait([this](const asio::error_code& error) {
         if (!error)
             this->checkStopProgress();
@@ -633,6 +630,7 @@
 void Proxy::reload(const ProxySettings& changed)
 {
     this->settings.stopGrace = changed.stopGrace;
+    this->stopSchedule.grace = changed.stopGrace;
     this->settings.logLinesPerSecond = changed.logLinesPerSecond;
     this->settings.retryRatio = changed.retryRatio;
     this->settings.retryBurst = changed.retryBurst;
