Use no connections through a daemon that stops for further requests

A daemon that reaches targets through another one went on using a connection through it after that one's notice that it leaves, if a request was in flight then; and a stopping daemon opened connections for others until its end. Requests on such a connection are cut off with it.

Stop.EndsTheUseOfItsConnectionsByOtherDaemons and Stop.OpensNoConnectionsForOtherDaemonsLate failed without the change and pass.

--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -110,7 +110,13 @@
 {
     if (!TunnelServer::isTunnelRequest(connection->request()))
         return false;
-    this->tunnelServer->handleRequest(connection);
+    if (takesRequests(this->stopSchedule, Clock::now())) {
+        this->tunnelServer->handleRequest(connection);
+        return true;
+    }
+    HttpMessage response;
+    response.status = 503;
+    connection->respond(response);
     return true;
 }
 
--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -511,6 +511,10 @@
 
 void TargetConnections::closeIdleThrough(std::string_view member)
 {
+    for (const auto& [attempt, connection] : this->activeConnections) {
+        if (connection->throughMember() == member)
+            connection->forbidReuse();
+    }
     for (auto& [instance, connections] : this->idleConnections) {
         std::erase_if(connections, [member](const auto& connection) {
             const bool matches = connection->throughMember() == member;
--- a/packages/proxy/tests/ProxyTestBed.h
+++ b/packages/proxy/tests/ProxyTestBed.h
@@ -81,6 +81,15 @@
     std::uint64_t endlessBytesSent { 0 };
     unsigned endlessResponsesClosed { 0 };
 
+    // Answers the last request if the script returned no response to it.
+    void answerHeld()
+    {
+        for (const std::weak_ptr<Connection>& item : this->openConnections) {
+            if (const std::shared_ptr<Connection> connection = item.lock(); connection && connection->socket.is_open())
+                asio::write(connection->socket, asio::buffer(healthyResponse(this->requests.back())));
+        }
+    }
+
     // Resets all connections and refuses new ones for the downtime.
     void crash()
     {
--- a/packages/proxy/tests/unit-stop.cpp
+++ b/packages/proxy/tests/unit-stop.cpp
@@ -28,6 +28,17 @@
         return target;
     }
 
+    // Starts two daemons. The first one, at which callers are, reaches the target through the second one only.
+    ScriptedTarget& startWithDetour()
+    {
+        ScriptedTarget& target = testBed.addTarget([this](const HttpMessage& received) -> std::optional<std::string> { return responds ? std::optional(ScriptedTarget::healthyResponse(received)) : std::nullopt; });
+        testBed.start(2, false, seconds(20));
+        std::vector<TargetEntry> unreachable = testBed.entries;
+        unreachable.front().target.address = freeAddress();
+        testBed.proxies.front()->applyTargetChanges(unreachable, {});
+        return target;
+    }
+
     void beginStop()
     {
         testBed.proxies.front()->beginStop([this] { stopped = true; });
@@ -142,6 +153,37 @@
     CHECK_EQUAL(200, waiting->responses.front().status);
 }
 
+// Guards against requests of other daemons that are cut off: their connections through the daemon that stops are used again.
+TEST(Stop, EndsTheUseOfItsConnectionsByOtherDaemons)
+{
+    ScriptedTarget& target = startWithDetour();
+    responds = false;
+    auto caller = sendRequest("first");
+    CHECK(testBed.runUntil([&] { return target.requests.size() == 1; }));
+    testBed.proxies.back()->beginStop([this] { stopped = true; });
+    CHECK(testBed.runUntil([&] { return testBed.proxies.front()->fleetState().members.at("vm-1").leaving; }));
+    target.answerHeld();
+    CHECK(testBed.runUntil([&] { return !caller->responses.empty(); }));
+    CHECK_EQUAL(200, caller->responses.front().status);
+    CHECK(testBed.runUntil([&] { return testBed.proxies.back()->renderMetrics().find("flamingowick_tunnels_open 0") != std::string::npos; }, seconds(1)));
+}
+
+// Guards against the same where another daemon hasn't heard of the stop.
+TEST(Stop, OpensNoConnectionsForOtherDaemonsLate)
+{
+    ScriptedTarget& target = startWithDetour();
+    ProxySettings settings = testBed.settings.back();
+    settings.stopGrace = milliseconds(400);
+    testBed.proxies.back()->reload(settings);
+    testBed.proxies.back()->beginStop([this] { stopped = true; });
+    testBed.runFor(milliseconds(250));
+    testBed.proxies.front()->fleetState().members.at("vm-1").leaving = false;
+    auto caller = sendRequest("late");
+    CHECK(testBed.runUntil([&] { return !caller->responses.empty(); }));
+    CHECK_EQUAL(503, caller->responses.front().status);
+    CHECK_EQUAL(0, target.requests.size());
+}
+
 TEST(Stop, FollowsItsSchedule)
 {
     const TimePoint begin = Clock::now();
