Take a process for ended only while the next one is heard

Messages of an ended process were dropped for 2 s after the restart was noticed, whatever the next process did; a datagram that arrived later than that turned the order of the two processes around, and the live one got no slots for 2 s.

The order of two processes at one address is given up only if the later one has been silent for 2 s. StaleMessages.AreNotThoseOfAProcessThatGoesOn shows that a live process whose first datagram arrived too late gets slots again.

--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -96,7 +96,7 @@
     void scheduleDirectoryExpiry();
     void scheduleProbes();
     void handleFleetChange();
-    // Whether the datagram's process was followed by another one at its address. Forgotten once late datagrams have arrived.
+    // Whether the datagram's process was followed by another one at its address, which has been heard since.
     bool isFromEndedProcess(const PeerSource&) const;
     void recordPeerContact(const PeerSource&);
     void handleGrantRequest(const PeerSource&, const GrantRequestMessage&);
@@ -144,8 +144,8 @@
     struct PeerIncarnations {
         std::uint64_t current { 0 };
         std::uint64_t ended { 0 };
-        // When the peer's restart was noticed.
-        TimePoint endedAt {};
+        // When the current one was heard last.
+        TimePoint heardAt {};
     };
     // By address.
     std::unordered_map<std::string, PeerIncarnations> peerIncarnations;
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -23,7 +23,8 @@
     constexpr unsigned maxMonitoringConnections = 32;
     // Daemons that are told of a target's limit: its dispatcher, and those that take over when it and the next one end.
     constexpr std::size_t limitKeeperCount = 3;
-    // How long datagrams of a process that has ended may arrive after the first one of the next.
+    // A process that is heard although another one at its address counts as the later one has not ended, if that one has been silent for
+    // so long: their first datagrams arrived in the wrong order.
     constexpr Duration maxDatagramDelay { std::chrono::seconds(2) };
 
     DispatcherCallbacks makeDispatcherCallbacks(std::function<void(const grants::Decision&)> deliverDecision, std::function<void(const grants::AttemptId&)> queryAttempt, const TargetDirectory& directory)
@@ -414,7 +415,7 @@
 bool Proxy::isFromEndedProcess(const PeerSource& source) const
 {
     const auto known = this->peerIncarnations.find(source.address);
-    return known != this->peerIncarnations.end() && source.incarnation == known->second.ended && Clock::now() - known->second.endedAt < maxDatagramDelay;
+    return known != this->peerIncarnations.end() && source.incarnation == known->second.ended && Clock::now() - known->second.heardAt < maxDatagramDelay;
 }
 
 void Proxy::recordPeerContact(const PeerSource& source)
@@ -429,10 +430,12 @@
         this->handleFleetChange();
     }
     PeerIncarnations& incarnations = this->peerIncarnations[source.address];
-    if (source.incarnation == incarnations.current || this->isFromEndedProcess(source))
+    if (this->isFromEndedProcess(source))
+        return;
+    incarnations.heardAt = Clock::now();
+    if (source.incarnation == incarnations.current)
         return;
     incarnations.ended = incarnations.current;
-    incarnations.endedAt = Clock::now();
     incarnations.current = source.incarnation;
     if (incarnations.ended != 0) {
         this->hostedPools->handleEntryRestart(incarnations.ended);
--- a/packages/proxy/tests/unit-stale-messages.cpp
+++ b/packages/proxy/tests/unit-stale-messages.cpp
@@ -178,6 +178,28 @@
     CHECK_EQUAL(1, occupiedSlots());
 }
 
+// Guards against a daemon that gets no slots any more because the first messages of its process and of the one before arrived in the wrong
+// order.
+TEST(StaleMessages, AreNotThoseOfAProcessThatGoesOn)
+{
+    testBed.addTarget(respondWell);
+    testBed.start(1, false, seconds(10));
+    startPeer(78);
+    joinPeer();
+    requestGrant(5001);
+    CHECK(testBed.runUntil([&] { return peer.grantedNumbers.contains(5001); }));
+    startPeer(77);
+    requestGrant(5);
+    CHECK(testBed.runUntil([&] { return peer.grantedNumbers.contains(5); }));
+    startPeer(78);
+    requestGrant(5002);
+    awaitHandled();
+    CHECK_FALSE(peer.grantedNumbers.contains(5002));
+    testBed.runFor(seconds(2));
+    requestGrant(5003);
+    CHECK(testBed.runUntil([&] { return peer.grantedNumbers.contains(5003); }));
+}
+
 // Guards against a daemon that is passed over because the last message of its ended process arrives late.
 TEST(StaleMessages, DoNotMarkTheNextProcessAsLeaving)
 {
