Reserve room for large bodies of requests before they are read

Cause: the budget for what is held was looked at once a body had been read whole. A body over the budget of 48 MiB could not run at all, and kept all other requests from running while it was held. It was copied into the bytes for its target, and allocated up to twice its size.

Change: a body of more than 64 KiB reserves room by its stated length, or as it grows: 48 MiB together, or any one alone. Further ones get 503 `no memory` with Retry-After, unread. They are kept out of the budget of everything else, allocated once, and written to the target from the request itself.

--- a/packages/proxy/include/flamingowick/proxy/CallerServer.h
+++ b/packages/proxy/include/flamingowick/proxy/CallerServer.h
@@ -19,9 +19,12 @@
 
 // One request of a caller, and the way to respond to it. Requests of one connection that may be repeated are served at the
 // same time; their responses go out in the order of the requests.
+class BodyReservation;
+
 class CallerExchange : public std::enable_shared_from_this<CallerExchange> {
 public:
     CallerExchange(std::shared_ptr<CallerStream>, HttpMessage received, TimePoint firstByteAt);
+    ~CallerExchange();
     CallerExchange(const CallerExchange&) = delete;
     CallerExchange& operator=(const CallerExchange&) = delete;
 
@@ -50,6 +53,8 @@
     std::shared_ptr<CallerStream> stream;
     HttpMessage message;
     TimePoint startedAt;
+    // Of a large body; null for others.
+    std::unique_ptr<BodyReservation> bodyReservation;
     // On the connection.
     std::uint64_t number { 0 };
     // The response until it has been written: its header without the last line, and its body.
@@ -80,11 +85,14 @@
     bool isStopping() const noexcept { return this->stopping; }
 
     // Bounds what is held for callers, together with what the function says is held elsewhere. Beyond the limit slow readers
-    // are cut off, and requests that haven't started get 503 while that isn't enough. Without this call there is no bound.
+    // are cut off, and requests that haven't started get 503 while that isn't enough. Large bodies of requests have the same bound
+    // to themselves, which one of them may exceed; further ones get 503 before they are read. Without this call there is no bound.
     void boundMemory(const MemoryLimits&, std::function<std::uint64_t()> heldElsewhere);
 
-    // Bytes of requests and responses that are held, over all connections.
+    // Bytes of requests and responses that are held, over all connections, without large bodies of requests.
     std::uint64_t heldBytes() const noexcept { return this->callerBytes; }
+    // Bytes of large bodies of requests that are held or announced.
+    std::uint64_t largeBodyBytes() const noexcept { return *this->reservedBodyBytes; }
     std::uint64_t readersCutOff() const noexcept { return this->cutReaders; }
     std::uint64_t requestsRefusedForMemory() const noexcept { return this->refusedForMemory; }
 
@@ -114,6 +122,7 @@
     MemoryLimits memoryLimits { 0 };
     std::function<std::uint64_t()> heldElsewhere;
     std::uint64_t callerBytes { 0 };
+    std::shared_ptr<std::uint64_t> reservedBodyBytes { std::make_shared<std::uint64_t>(0) };
     std::uint64_t cutReaders { 0 };
     std::uint64_t refusedForMemory { 0 };
     TimePoint nextCutAt {};
--- a/packages/proxy/include/flamingowick/proxy/HttpMessage.h
+++ b/packages/proxy/include/flamingowick/proxy/HttpMessage.h
@@ -83,6 +83,8 @@
     // Memory that the current message's header and body take: a header field of few bytes takes many times as much, and a body that grows
     // up to twice as much.
     std::uint64_t heldBytes() const noexcept;
+    // Content-Length of the current message; 0 until its headers are complete, or if they state none.
+    std::uint64_t declaredBodyBytes() const noexcept { return this->declaredBytes; }
     HttpMessage& message() noexcept { return this->currentMessage; }
 
 private:
@@ -100,6 +102,7 @@
     HttpMessage currentMessage;
     ReadState readState { ReadState::Incomplete };
     std::uint64_t headerBytes { 0 };
+    std::uint64_t declaredBytes { 0 };
     bool messageStarted { false };
     bool headersCompleted { false };
     bool expectsNoBody { false };
--- a/packages/proxy/include/flamingowick/proxy/TargetConnections.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetConnections.h
@@ -22,8 +22,10 @@
 struct AttemptSpec {
     std::string instance;
     std::string address;
-    // The complete request as sent, header and body.
+    // The request as sent, its header or all of it.
     std::string requestBytes;
+    // What follows them: the body, which isn't copied; null for nothing.
+    std::shared_ptr<const std::string> requestBody;
     // The target must return it in the response.
     std::string requestId;
     bool idempotent { false };
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -224,7 +224,9 @@
     AttemptSpec spec;
     spec.instance = decision.instance;
     spec.address = target.target.address;
-    spec.requestBytes = this->serializeRequest(decision.instance);
+    spec.requestBytes = this->serializeHeader(decision.instance);
+    // Shares the ownership of the whole request.
+    spec.requestBody = std::shared_ptr<const std::string>(this->caller, &this->caller->request().body);
     spec.requestId = this->requestId;
     spec.idempotent = this->route.idempotent;
     spec.isHeadRequest = this->caller->request().method == "HEAD";
@@ -277,7 +279,7 @@
     return true;
 }
 
-std::string ActiveRequest::serializeRequest(const std::string& instance)
+std::string ActiveRequest::serializeHeader(const std::string& instance)
 {
     const HttpMessage& request = this->caller->request();
     const HeaderNames& names = this->context.settings.headers;
@@ -299,7 +301,7 @@
     const bool framed = !headerValue(request, "content-length").empty() || !headerValue(request, "transfer-encoding").empty();
     if (framed || !request.body.empty())
         bytes.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
-    bytes.append("\r\n").append(request.body);
+    bytes.append("\r\n");
     return bytes;
 }
 
--- a/packages/proxy/src/ActiveRequest.h
+++ b/packages/proxy/src/ActiveRequest.h
@@ -148,7 +148,7 @@
     void handleDeadline();
     void onTimer();
     void scheduleTimer();
-    std::string serializeRequest(const std::string& instance);
+    std::string serializeHeader(const std::string& instance);
     std::vector<std::string> instancesWithIdleConnection() const;
     unsigned chooseGroup(std::span<const std::string> idleInstances, unsigned count) const;
 
--- a/packages/proxy/src/CallerStream.cpp
+++ b/packages/proxy/src/CallerStream.cpp
@@ -83,6 +83,8 @@
 
 void CallerExchange::respond(HttpMessage response) { this->stream->respond(*this, std::move(response)); }
 
+CallerExchange::~CallerExchange() = default;
+
 std::optional<asio::ip::tcp::socket> CallerExchange::takeSocket() { return this->stream->takeSocket(); }
 
 void CallerExchange::close() { this->stream->close(); }
@@ -181,6 +183,10 @@
     }
     if (!this->reader.hasCompleteHeaders())
         return false;
+    if (!this->reserveBody()) {
+        this->refuseBody();
+        return true;
+    }
     // Receiving a body has no total timeout: each read restarts the idle timeout.
     this->setTimeout(limits.idleTimeout);
     if (!headersWereComplete && headerNamesEqual(headerValue(this->reader.message(), "expect"), "100-continue")) {
@@ -190,6 +196,40 @@
     return false;
 }
 
+bool CallerStream::reserveBody()
+{
+    std::string& body = this->reader.message().body;
+    const std::uint64_t needed = std::max<std::uint64_t>(this->reader.declaredBodyBytes(), body.capacity());
+    if (needed <= maxSmallBodyBytes || (this->bodyReservation && needed <= this->bodyReservation->bytes()))
+        return true;
+    if (!this->bodyReservation)
+        this->bodyReservation = std::make_unique<BodyReservation>(this->server.reservedBodyBytes);
+    if (!this->bodyReservation->growTo(needed, this->server.memoryLimits.maxBytes))
+        return false;
+    // A body that grows step by step is copied, and allocated up to twice its size.
+    body.reserve(this->reader.declaredBodyBytes());
+    return true;
+}
+
+std::uint64_t CallerStream::readBytes() const
+{
+    const std::uint64_t held = this->reader.heldBytes();
+    return held - std::min(held, this->bodyReservation ? this->bodyReservation->bytes() : 0);
+}
+
+void CallerStream::dropRead()
+{
+    this->reader.restart({});
+    this->bodyReservation = nullptr;
+}
+
+void CallerStream::refuseBody()
+{
+    this->dropRead();
+    this->enqueue({}, true, true);
+    this->refuse(*this->exchanges.back());
+}
+
 void CallerStream::sendContinueIfDue()
 {
     // It belongs to the next response, so that those before it come first.
@@ -203,8 +243,9 @@
 
 void CallerStream::enqueue(HttpMessage&& message, bool last, bool concurrent)
 {
-    const std::uint64_t bytes = this->reader.heldBytes();
+    const std::uint64_t bytes = this->readBytes();
     const auto exchange = std::make_shared<CallerExchange>(this->shared_from_this(), std::move(message), this->startedAt);
+    exchange->bodyReservation = std::move(this->bodyReservation);
     exchange->number = addRequest(this->queue, concurrent, last, bytes);
     this->exchanges.push_back(exchange);
     this->inputEnded = last;
@@ -222,8 +263,7 @@
 
 void CallerStream::acceptError(unsigned status)
 {
-    // What was read of the request is dropped.
-    this->reader.restart({});
+    this->dropRead();
     this->enqueue({}, true, true);
     // Nothing is to be done for it, so that it need not wait for its turn.
     HttpMessage response;
@@ -258,7 +298,7 @@
 
 void CallerStream::countHeldBytes()
 {
-    const std::uint64_t held = this->closed ? 0 : proxy::heldBytes(this->queue) + this->input.bytes().size() + this->reader.heldBytes();
+    const std::uint64_t held = this->closed ? 0 : proxy::heldBytes(this->queue) + this->input.bytes().size() + this->readBytes();
     const std::uint64_t before = std::exchange(this->countedBytes, held);
     this->server.changeHeldBytes(before, held);
 }
--- a/packages/proxy/src/CallerStream.h
+++ b/packages/proxy/src/CallerStream.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "LargeBodies.h"
+
 #include "flamingowick/proxy/CallerServer.h"
 #include "flamingowick/proxy/PipelineQueue.h"
 
@@ -63,6 +65,14 @@
     void refuse(CallerExchange&);
     // Reads and starts requests as far as the queue allows.
     void serveInput();
+    // Reserves room for the body that is being read, as far as it is known to be large. Returns whether there is any.
+    bool reserveBody();
+    // Bytes of the request that is being read, without a large body.
+    std::uint64_t readBytes() const;
+    // Drops what was read of the request that is being read.
+    void dropRead();
+    // Responds that the request, of which the body isn't read, has not run for lack of memory.
+    void refuseBody();
     // Parses input up to the end of a request. Returns whether there is more to be done.
     bool parseInput();
     void acceptRequest();
@@ -85,6 +95,8 @@
     Timer timer;
     MessageReader reader;
     CallerInput input;
+    // Of the body that is being read, if it is large.
+    std::unique_ptr<BodyReservation> bodyReservation;
     PipelineQueue queue;
     // Those of the queue, in its order.
     std::deque<std::shared_ptr<CallerExchange>> exchanges;
--- a/packages/proxy/src/HttpMessage.cpp
+++ b/packages/proxy/src/HttpMessage.cpp
@@ -92,6 +92,7 @@
     this->currentMessage = HttpMessage {};
     this->readState = ReadState::Incomplete;
     this->headerBytes = 0;
+    this->declaredBytes = 0;
     this->messageStarted = false;
     this->headersCompleted = false;
     this->lastCallbackWasValue = false;
@@ -203,6 +204,8 @@
         reader.readState = ReadState::BodyTooLarge;
         return -1;
     }
+    if ((parser->flags & F_CONTENTLENGTH) != 0)
+        reader.declaredBytes = parser->content_length;
     return reader.expectsNoBody ? 1 : 0;
 }
 
--- a/packages/proxy/src/TargetConnections.cpp
+++ b/packages/proxy/src/TargetConnections.cpp
@@ -9,6 +9,7 @@
 #include <asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 
@@ -188,7 +189,8 @@
     {
         this->sent = true;
         this->writing = true;
-        asio::async_write(this->socket, asio::buffer(this->spec.requestBytes), [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
+        const std::array<asio::const_buffer, 2> parts { asio::buffer(this->spec.requestBytes), this->spec.requestBody ? asio::buffer(*this->spec.requestBody) : asio::const_buffer() };
+        asio::async_write(this->socket, parts, [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
             self->writing = false;
             // The target may respond without reading the whole request, so that reading goes on after a failed write.
             if (error)
@@ -360,6 +362,7 @@
         this->owner.activeConnections.erase(this->attempt);
         if (reuse) {
             this->spec.requestBytes = {};
+            this->spec.requestBody = nullptr;
             this->newConnection = false;
             this->idleSince = Clock::now();
             auto& connections = this->owner.idleConnections[this->instance];
