--- a/packages/proxy/include/flamingowick/proxy/CallerServer.h
+++ b/packages/proxy/include/flamingowick/proxy/CallerServer.h
@@ -14,13 +14,12 @@
 // HTTP/1.1 server for callers.
 namespace flamingowick::proxy {
 
+class BodyReservation;
 class CallerServer;
 class CallerStream;
 
 // One request of a caller, and the way to respond to it. Requests of one connection that may be repeated are served at the
 // same time; their responses go out in the order of the requests.
-class BodyReservation;
-
 class CallerExchange : public std::enable_shared_from_this<CallerExchange> {
 public:
     CallerExchange(std::shared_ptr<CallerStream>, HttpMessage received, TimePoint firstByteAt);
--- a/packages/proxy/src/MessageNumbers.h
+++ b/packages/proxy/src/MessageNumbers.h
@@ -7,8 +7,9 @@
 
 namespace flamingowick::proxy {
 
-// Returns the number after which a process numbers its requests to other daemons. Replies name a request by its number only, and may
-// arrive after the process that sent it has ended: each process counts on from its own place. Leaves the upper bits for that.
+// Returns the number from which a process counts its requests to other daemons. Replies name a request by its number only and may arrive
+// after its process has ended, so the ranges of two processes at one address must not overlap: a hash chooses where each begins. The upper
+// two bits are 0, which keeps the count from overflowing. Constant time.
 inline std::uint64_t firstMessageNumber(std::string_view vm, std::uint64_t incarnation) noexcept
 {
     return combineHashes(stableHash(vm), incarnation) >> 2U;
