Let the requests of a daemon end before a test restarts it

In the product the event loop ends before the daemon is destroyed, and nothing runs after it.

The test waits until the daemon has no requests. What it checks is unchanged.

--- a/packages/proxy/tests/unit-stale-messages.cpp
+++ b/packages/proxy/tests/unit-stale-messages.cpp
@@ -78,6 +78,8 @@
 
     void restartDaemon()
     {
+        // Requests outlive the daemon in a test, where the event loop goes on without it.
+        CHECK(testBed.runUntil([this] { return testBed.proxies.front()->renderMetrics().find("flamingowick_requests_running 0") != std::string::npos; }));
         testBed.peerServers.clear();
         testBed.proxies.front().reset();
         testBed.proxies.front() = std::make_unique<Proxy>(testBed.io, testBed.settings.front(), 4711, testBed.log);
