--- a/packages/proxy/tests/unit-stop.cpp
+++ b/packages/proxy/tests/unit-stop.cpp
@@ -119,6 +119,26 @@
     }
 }
 
+// Guards against requests that are passed on late because their connection was opened, or their header sent, in time.
+TEST(Stop, ReadsNoBodiesAndAcceptsNoConnectionsLate)
+{
+    ScriptedTarget& target = start(milliseconds(3000), milliseconds(100));
+    auto caller = testBed.connectCaller();
+    std::string withoutBody = makeRequest("late", "POST", "x", "20000");
+    withoutBody.pop_back();
+    caller->send(withoutBody);
+    testBed.runFor(milliseconds(20));
+    beginStop();
+    testBed.runFor(milliseconds(1700));
+    CHECK(caller->ended);
+    CHECK(caller->responses.empty());
+    asio::ip::tcp::socket socket(testBed.io);
+    asio::error_code error;
+    socket.connect(parseTcpEndpoint(testBed.settings.front().callerAddress), error);
+    CHECK(error == asio::error::connection_refused);
+    CHECK_EQUAL(0, target.requests.size());
+}
+
 // Guards against callers whose connection ends without an answer: their targets have not answered by the end of the grace.
 TEST(Stop, AnswersTheRequestsThatItHasToBreakOff)
 {
