Bound requests for readiness, for metrics and between daemons

What callers saw: clients that send bodies or headers to the addresses for readiness, for metrics or for other daemons end the daemon for its memory, and with it all requests that it holds.

Cause: these servers took the limits of callers, 64 MiB a body by configuration, or 8 MiB, and none of them has a budget. A header of fields of two bytes takes 1 MiB.

Change: requests there have at most 64 header fields, 4 KiB of header and 1 KiB of body.

--- a/packages/proxy/include/flamingowick/proxy/Configuration.h
+++ b/packages/proxy/include/flamingowick/proxy/Configuration.h
@@ -5,6 +5,7 @@
 #include "flamingowick/organisations/KeyIndex.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -52,8 +53,12 @@
     Duration headerTimeout { std::chrono::seconds(3) };
     // How long an idle connection stays open.
     Duration idleTimeout { std::chrono::seconds(15) };
+    std::size_t maxHeaderFields { std::numeric_limits<std::size_t>::max() };
 };
 
+// Of requests between daemons, for readiness and for metrics, which have no bodies and few header fields.
+inline constexpr CallerLimits internalRequestLimits { .maxHeaderBytes = 4U << 10U, .maxBodyBytes = 1U << 10U, .maxHeaderFields = 64 };
+
 struct Configuration {
     // Increases with every change.
     std::uint64_t version { 0 };
--- a/packages/proxy/include/flamingowick/proxy/HttpMessage.h
+++ b/packages/proxy/include/flamingowick/proxy/HttpMessage.h
@@ -5,6 +5,7 @@
 #include <http_parser.h>
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -44,6 +45,7 @@
 struct ReadLimits {
     std::uint64_t maxHeaderBytes { 64U << 10U };
     std::uint64_t maxBodyBytes { 8U << 20U };
+    std::size_t maxHeaderFields { std::numeric_limits<std::size_t>::max() };
 };
 
 enum class ReadState : std::uint8_t {
--- a/packages/proxy/src/CallerStream.cpp
+++ b/packages/proxy/src/CallerStream.cpp
@@ -159,7 +159,7 @@
 {
     const CallerLimits limits = this->server.handlers.limits();
     if (!this->reader.hasStarted()) {
-        this->reader.restart({ limits.maxHeaderBytes, limits.maxBodyBytes });
+        this->reader.restart({ limits.maxHeaderBytes, limits.maxBodyBytes, limits.maxHeaderFields });
         this->startedAt = this->input.oldestArrival();
         this->setTimeout(limits.headerTimeout);
     }
--- a/packages/proxy/src/HttpMessage.cpp
+++ b/packages/proxy/src/HttpMessage.cpp
@@ -158,8 +158,13 @@
         return 0;
     if (!reader.addHeaderBytes(size))
         return 1;
-    if (reader.currentMessage.headers.empty() || reader.lastCallbackWasValue)
+    if (reader.currentMessage.headers.empty() || reader.lastCallbackWasValue) {
+        if (reader.currentMessage.headers.size() >= reader.limits.maxHeaderFields) {
+            reader.readState = ReadState::HeaderTooLarge;
+            return 1;
+        }
         reader.currentMessage.headers.emplace_back();
+    }
     reader.lastCallbackWasValue = false;
     reader.currentMessage.headers.back().name.append(text, size);
     return 0;
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -68,13 +68,14 @@
     const auto handleTargetLeaving = [this](std::string_view instance, std::int64_t startedAt) { this->applyDirectoryChange(markLeaving(this->directory, instance, startedAt)); };
     this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->appliedConfiguration, this->directory, this->fleet, *this->peers, *this->hostedPools, *this->localPools, *this->links, this->paths, *this->quarantine, this->log, this->metrics, this->stopSchedule, this->ownIncarnation, this->ownDigestKey, *this->allotments, this->organisationLabels, handleMemberSuspected, handleTargetLeaving, handleTargetLimit });
     this->entry = std::make_unique<Entry>(*this->context);
-    const auto limits = [this] { return this->appliedConfiguration ? this->appliedConfiguration->configuration.limits : CallerLimits {}; };
+    const auto internalLimits = [] { return internalRequestLimits; };
     this->readinessServer = std::make_unique<CallerServer>(this->io, this->settings.readyAddress, maxMonitoringConnections,
-        CallerServerHandlers { limits, [this](const std::shared_ptr<CallerExchange>& caller) { this->handleReadinessRequest(*caller); } });
+        CallerServerHandlers { internalLimits, [this](const std::shared_ptr<CallerExchange>& caller) { this->handleReadinessRequest(*caller); } });
     if (!this->settings.metricsAddress.empty()) {
         this->metricsServer = std::make_unique<CallerServer>(this->io, this->settings.metricsAddress, maxMonitoringConnections,
-            CallerServerHandlers { limits, [this](const std::shared_ptr<CallerExchange>& caller) { this->handleMetricsRequest(*caller); } });
+            CallerServerHandlers { internalLimits, [this](const std::shared_ptr<CallerExchange>& caller) { this->handleMetricsRequest(*caller); } });
     }
+    const auto limits = [this] { return this->appliedConfiguration ? this->appliedConfiguration->configuration.limits : CallerLimits {}; };
     this->callerServer = std::make_unique<CallerServer>(this->io, this->settings.callerAddress, maxCallerConnections,
         CallerServerHandlers { limits, [this](const std::shared_ptr<CallerExchange>& caller) {
                                   this->entry->handleRequest(caller);
--- a/packages/proxy/src/StateFeed.cpp
+++ b/packages/proxy/src/StateFeed.cpp
@@ -92,7 +92,7 @@
     , watchStoreUntil(lastStoreContactAt)
 {
     this->server = std::make_unique<CallerServer>(this->io, address, maxPeerConnections,
-        CallerServerHandlers { [] { return CallerLimits {}; }, [this](const std::shared_ptr<CallerExchange>& connection) { this->handleRequest(connection); } });
+        CallerServerHandlers { [] { return internalRequestLimits; }, [this](const std::shared_ptr<CallerExchange>& connection) { this->handleRequest(connection); } });
 }
 
 // A request in progress and its relay refer to each other; stop() cancels the requests, so that both are freed.
--- a/packages/proxy/tests/unit-http.cpp
+++ b/packages/proxy/tests/unit-http.cpp
@@ -100,3 +100,13 @@
     CHECK(isHopByHopHeader(message, "Transfer-Encoding"));
     CHECK_FALSE(isHopByHopHeader(message, "X-Far"));
 }
+
+// Guards against headers of short fields, each of which takes many times its bytes.
+TEST(Http, ReadsNoMoreHeaderFieldsThanTheLimit)
+{
+    requests.restart({ .maxHeaderFields = 2 });
+    requests.parse("GET / HTTP/1.1\r\na:\r\nb:\r\n");
+    CHECK(requests.state() == ReadState::Incomplete);
+    requests.parse("c:\r\n");
+    CHECK(requests.state() == ReadState::HeaderTooLarge);
+}
