Free the memory of requests that were refused, and of input that was parsed

What callers saw: clients that send many bodies, of which most are refused, end the daemon for its memory, and with it all requests that it holds.

Cause: an empty string that is assigned to another one leaves it its memory. So a body that was refused stayed allocated until its connection closed, a second later, and each connection kept the memory of its input, 16 KiB or more, while it was idle. Neither was counted.

Http.FreesTheBodyOfTheMessageBefore fails without the change.

--- a/packages/proxy/src/CallerStream.cpp
+++ b/packages/proxy/src/CallerStream.cpp
@@ -61,8 +61,7 @@
     this->start += count;
     if (this->start == this->text.size()) {
         // Most connections are idle.
-        this->text = {};
-        this->start = 0;
+        this->release();
     }
     while (count > 0) {
         Arrival& oldest = this->arrivals.front();
@@ -74,6 +73,19 @@
     }
 }
 
+void CallerInput::clear()
+{
+    this->release();
+    this->arrivals.clear();
+}
+
+void CallerInput::release()
+{
+    // An assignment of an empty string would keep the memory.
+    std::string().swap(this->text);
+    this->start = 0;
+}
+
 CallerExchange::CallerExchange(std::shared_ptr<CallerStream> owner, HttpMessage received, TimePoint firstByteAt)
     : stream(std::move(owner))
     , message(std::move(received))
@@ -379,7 +391,7 @@
     // Closing a socket that has unread bytes resets the connection, and the caller could lose the response. So only the
     // sending side is shut down, and input is read and dropped until the caller closes.
     this->lingering = true;
-    this->input = {};
+    this->input.clear();
     this->countHeldBytes();
     asio::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/packages/proxy/src/CallerStream.h
+++ b/packages/proxy/src/CallerStream.h
@@ -16,6 +16,7 @@
 public:
     void append(std::string_view bytes, TimePoint now);
     void consume(std::size_t count);
+    void clear();
     std::string_view bytes() const noexcept { return std::string_view(this->text).substr(this->start); }
     // When the first of the bytes arrived; there must be one.
     TimePoint oldestArrival() const noexcept { return this->arrivals.front().at; }
@@ -26,6 +27,8 @@
         TimePoint at;
     };
 
+    void release();
+
     std::string text;
     // Bytes at the start of the text that were consumed.
     std::size_t start { 0 };
--- a/packages/proxy/src/HttpMessage.cpp
+++ b/packages/proxy/src/HttpMessage.cpp
@@ -89,6 +89,8 @@
     this->expectsNoBody = withoutBody;
     http_parser_init(&this->parser, this->kind == Kind::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
     this->parser.data = this;
+    // An assignment of an empty string would keep the memory of the body.
+    std::string().swap(this->currentMessage.body);
     this->currentMessage = HttpMessage {};
     this->readState = ReadState::Incomplete;
     this->headerBytes = 0;
--- a/packages/proxy/tests/unit-http.cpp
+++ b/packages/proxy/tests/unit-http.cpp
@@ -110,3 +110,12 @@
     requests.parse("c:\r\n");
     CHECK(requests.state() == ReadState::HeaderTooLarge);
 }
+
+// Guards against connections that keep the memory of the largest body that was read or refused on them.
+TEST(Http, FreesTheBodyOfTheMessageBefore)
+{
+    requests.parse("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n" + std::string(99'999, 'b'));
+    CHECK_COMPARE(requests.heldBytes(), >=, 99'999U);
+    requests.restart({});
+    CHECK_COMPARE(requests.message().body.capacity(), <, 100U);
+}
