Bound what incomplete requests take, by the memory of the VM

What callers saw: clients that begin requests (a body of up to 64 KiB, a header of many fields, input behind a request that waits) and stop just short of their end end the daemon for its memory. Before that, all requests get 503, since the budget for callers is full.

Cause: the budget was looked at once a request was whole. 3,000 connections may hold 64 KiB of body, 1 MiB of header fields or 64 KiB of input each. The budget was the same on a VM of 160 and of 512 MB.

Change: incomplete requests have half of the budget, which is looked at after each read. Beyond it those of slow senders (below 16 KiB/s for 2 s) are refused, and then the one that grew. The same slow senders make way for large bodies.

--- a/packages/proxy/include/flamingowick/proxy/CallerServer.h
+++ b/packages/proxy/include/flamingowick/proxy/CallerServer.h
@@ -2,7 +2,7 @@
 
 #include "flamingowick/proxy/Configuration.h"
 #include "flamingowick/proxy/HttpMessage.h"
-#include "flamingowick/proxy/SlowReaders.h"
+#include "flamingowick/proxy/SlowCallers.h"
 #include "flamingowick/proxy/Sockets.h"
 
 #include <functional>
@@ -84,15 +84,19 @@
     bool isStopping() const noexcept { return this->stopping; }
 
     // Bounds what is held for callers, together with what the function says is held elsewhere. Beyond the limit slow readers
-    // are cut off, and requests that haven't started get 503 while that isn't enough. Large bodies of requests have the same bound
-    // to themselves, which one of them may exceed; further ones get 503 before they are read. Without this call there is no bound.
+    // are cut off, and requests that haven't started get 503 while that isn't enough. Requests that aren't complete yet have a part
+    // of it, and large bodies of requests a bound of their own, which one of them may exceed: beyond these, requests of slow senders get
+    // 503, and while that isn't enough the request that needs more does. Without this call there is no bound.
     void boundMemory(const MemoryLimits&, std::function<std::uint64_t()> heldElsewhere);
 
     // Bytes of requests and responses that are held, over all connections, without large bodies of requests.
     std::uint64_t heldBytes() const noexcept { return this->callerBytes; }
     // Bytes of large bodies of requests that are held or announced.
     std::uint64_t largeBodyBytes() const noexcept { return *this->reservedBodyBytes; }
+    // Bytes of requests that aren't complete, without large bodies.
+    std::uint64_t receivingBytes() const noexcept { return this->incompleteBytes; }
     std::uint64_t readersCutOff() const noexcept { return this->cutReaders; }
+    std::uint64_t sendersCutOff() const noexcept { return this->cutSenders; }
     std::uint64_t requestsRefusedForMemory() const noexcept { return this->refusedForMemory; }
 
     // Stops listening and closes all connections that have no request in progress.
@@ -109,6 +113,14 @@
     void changeHeldBytes(std::uint64_t before, std::uint64_t after);
     std::uint64_t excessBytes() const;
     void cutSlowReaders();
+    // Makes room after the connection has received bytes of a request that isn't complete: refuses those of slow senders, and this one
+    // if that isn't enough.
+    void boundReceiving(CallerStream& newest);
+    // Grows the reservation of the connection's large body, at the expense of slow senders' if there is no room. Returns whether there is.
+    bool reserveBody(const CallerStream&, BodyReservation&, std::uint64_t bytes);
+    // Refuses the requests of slow senders, other than the connection, of which the function says that they hold bytes, as many as free
+    // the excess. Linearithmic in the connections, but only every 50 ms while there are none.
+    void cutSlowSenders(const CallerStream&, std::uint64_t excessBytes, const std::function<std::uint64_t(const CallerStream&)>& heldBy);
 
     asio::io_context& context;
     asio::ip::tcp::acceptor acceptor;
@@ -122,9 +134,12 @@
     std::function<std::uint64_t()> heldElsewhere;
     std::uint64_t callerBytes { 0 };
     std::shared_ptr<std::uint64_t> reservedBodyBytes { std::make_shared<std::uint64_t>(0) };
+    std::uint64_t incompleteBytes { 0 };
     std::uint64_t cutReaders { 0 };
+    std::uint64_t cutSenders { 0 };
     std::uint64_t refusedForMemory { 0 };
     TimePoint nextCutAt {};
+    TimePoint nextSenderCutAt {};
     bool cutScheduled { false };
     bool stopping { false };
     std::shared_ptr<char> lifetimeToken { std::make_shared<char>() };
--- a/packages/proxy/include/flamingowick/proxy/PipelineQueue.h
+++ b/packages/proxy/include/flamingowick/proxy/PipelineQueue.h
@@ -70,6 +70,9 @@
 // that was started closes the connection. Linear in the requests.
 std::optional<NextResponse> nextResponse(const PipelineQueue&, bool stopping) noexcept;
 
+// Lets the response to the newest request, if there is one, close the connection. Constant time.
+void endWithNewest(PipelineQueue&) noexcept;
+
 // Removes the first request, whose response has been written.
 void removeFirst(PipelineQueue&);
 
--- a/packages/proxy/include/flamingowick/proxy/ProxySettings.h
+++ b/packages/proxy/include/flamingowick/proxy/ProxySettings.h
@@ -71,6 +71,8 @@
     HeaderNames headers;
     // Bandwidth of the VM's network link in Mbit/s; 0 when it isn't known. Daemons with a broad link are preferred as relays.
     double linkMbps { 0 };
+    // Memory of the VM in MB, which bounds what is held for callers.
+    double memoryMb { 160 };
     // Decides which calls the daemon makes to the store at its start.
     FleetStage fleetStage { FleetStage::Unknown };
     // Time after which the platform kills a process that it told to stop.
--- a/packages/proxy/src/CallerServer.cpp
+++ b/packages/proxy/src/CallerServer.cpp
@@ -1,6 +1,7 @@
 #include "flamingowick/proxy/CallerServer.h"
 
 #include "CallerStream.h"
+#include "LargeBodies.h"
 
 #include <asio/post.hpp>
 
@@ -15,7 +16,7 @@
     constexpr std::size_t readBufferBytes = 16U << 10U;
     // Of a bounded server's connection: the kernel's buffers, which grow to some megabytes, aren't counted in its budget.
     constexpr int maxUnsentBytes = 128 << 10;
-    // Interval at which slow readers are looked for while there are none.
+    // Interval at which slow callers are looked for while there are none.
     constexpr Duration cutInterval { std::chrono::milliseconds(50) };
 
 }
@@ -94,14 +95,14 @@
 {
     this->cutScheduled = false;
     std::vector<std::shared_ptr<CallerStream>> streams;
-    std::vector<Reader> readers;
+    std::vector<HoldingCaller> readers;
     for (const auto& connection : this->connections) {
         if (const std::optional<TimePoint> since = connection->writingSince()) {
             streams.push_back(connection);
             readers.push_back({ connection->heldBytes(), *since });
         }
     }
-    const std::vector<std::size_t> chosen = chooseReadersToCut(readers, this->excessBytes(), this->memoryLimits, Clock::now());
+    const std::vector<std::size_t> chosen = chooseCallersToCut(readers, this->excessBytes(), this->memoryLimits, Clock::now());
     for (const std::size_t index : chosen)
         streams[index]->cutOff();
     this->cutReaders += chosen.size();
@@ -109,6 +110,46 @@
         this->nextCutAt = Clock::now() + cutInterval;
 }
 
+void CallerServer::boundReceiving(CallerStream& newest)
+{
+    const auto excess = [this] { return this->memoryLimits.maxBytes > 0 && this->incompleteBytes > this->memoryLimits.maxReceivingBytes ? this->incompleteBytes - this->memoryLimits.maxReceivingBytes : 0; };
+    if (excess() > 0)
+        this->cutSlowSenders(newest, excess(), [](const CallerStream& stream) { return stream.receivingBytes(); });
+    if (excess() > 0)
+        newest.refuseIncomplete();
+}
+
+bool CallerServer::reserveBody(const CallerStream& stream, BodyReservation& reservation, std::uint64_t bytes)
+{
+    const std::uint64_t limit = this->memoryLimits.maxBytes > 0 ? this->memoryLimits.maxLargeBodyBytes : 0;
+    if (reservation.growTo(bytes, limit))
+        return true;
+    this->cutSlowSenders(stream, bytes, [](const CallerStream& other) { return other.reservedBytes(); });
+    return reservation.growTo(bytes, limit);
+}
+
+void CallerServer::cutSlowSenders(const CallerStream& exempt, std::uint64_t excessBytes, const std::function<std::uint64_t(const CallerStream&)>& heldBy)
+{
+    const TimePoint now = Clock::now();
+    if (now < this->nextSenderCutAt)
+        return;
+    std::vector<std::shared_ptr<CallerStream>> streams;
+    std::vector<HoldingCaller> senders;
+    for (const auto& connection : this->connections) {
+        const std::uint64_t held = heldBy(*connection);
+        if (held > 0 && connection.get() != &exempt && connection->isSlowSender(now)) {
+            streams.push_back(connection);
+            senders.push_back({ held, connection->receivingSince() });
+        }
+    }
+    const std::vector<std::size_t> chosen = chooseCallersToCut(senders, excessBytes, this->memoryLimits, now);
+    for (const std::size_t index : chosen)
+        streams[index]->refuseIncomplete();
+    this->cutSenders += chosen.size();
+    if (chosen.empty())
+        this->nextSenderCutAt = now + cutInterval;
+}
+
 void CallerServer::closeIdle()
 {
     asio::error_code ignored;
--- a/packages/proxy/src/CallerStream.cpp
+++ b/packages/proxy/src/CallerStream.cpp
@@ -146,9 +146,15 @@
     }
     // What follows the last request is dropped, but the end of the connection has to be noticed.
     if (!this->lingering && !this->inputEnded) {
-        this->input.append(std::string_view(this->server.inputBuffer).substr(0, size), Clock::now());
+        const TimePoint now = Clock::now();
+        if (!this->isReceiving()) {
+            this->receivingStartedAt = now;
+            this->sendingRate = { now };
+        }
+        recordReceived(this->sendingRate, size, this->server.memoryLimits, now);
+        this->input.append(std::string_view(this->server.inputBuffer).substr(0, size), now);
         this->serveInput();
-        this->countHeldBytes();
+        this->boundReceivedBytes();
     }
     if (this->input.bytes().size() < maxBufferedBytes)
         this->read();
@@ -171,7 +177,9 @@
 {
     const CallerLimits limits = this->server.handlers.limits();
     if (!this->reader.hasStarted()) {
-        this->reader.restart({ limits.maxHeaderBytes, limits.maxBodyBytes, limits.maxHeaderFields });
+        const MemoryLimits& memoryLimits = this->server.memoryLimits;
+        const std::uint64_t maxBodyBytes = memoryLimits.maxBytes > 0 ? std::min(limits.maxBodyBytes, memoryLimits.maxSingleBodyBytes) : limits.maxBodyBytes;
+        this->reader.restart({ limits.maxHeaderBytes, maxBodyBytes, limits.maxHeaderFields });
         this->startedAt = this->input.oldestArrival();
         this->setTimeout(limits.headerTimeout);
     }
@@ -216,7 +224,7 @@
         return true;
     if (!this->bodyReservation)
         this->bodyReservation = std::make_unique<BodyReservation>(this->server.reservedBodyBytes);
-    if (!this->bodyReservation->growTo(needed, this->server.memoryLimits.maxBytes))
+    if (!this->server.reserveBody(*this, *this->bodyReservation, needed))
         return false;
     // A body that grows step by step is copied, and allocated up to twice its size.
     body.reserve(this->reader.declaredBodyBytes());
@@ -242,6 +250,19 @@
     this->refuse(*this->exchanges.back());
 }
 
+void CallerStream::refuseIncomplete()
+{
+    this->input.clear();
+    if (this->reader.hasStarted()) {
+        this->refuseBody();
+    } else {
+        endWithNewest(this->queue);
+        this->inputEnded = true;
+        this->countHeldBytes();
+    }
+    this->read();
+}
+
 void CallerStream::sendContinueIfDue()
 {
     // It belongs to the next response, so that those before it come first.
@@ -310,11 +331,20 @@
 
 void CallerStream::countHeldBytes()
 {
-    const std::uint64_t held = this->closed ? 0 : proxy::heldBytes(this->queue) + this->input.bytes().size() + this->readBytes();
+    const std::uint64_t receiving = this->closed ? 0 : this->input.heldBytes() + this->readBytes();
+    this->server.incompleteBytes += receiving - std::exchange(this->countedReceivingBytes, receiving);
+    const std::uint64_t held = this->closed ? 0 : proxy::heldBytes(this->queue) + receiving;
     const std::uint64_t before = std::exchange(this->countedBytes, held);
     this->server.changeHeldBytes(before, held);
 }
 
+void CallerStream::boundReceivedBytes()
+{
+    this->countHeldBytes();
+    if (this->isReceiving() && !this->closed)
+        this->server.boundReceiving(*this);
+}
+
 void CallerStream::respond(CallerExchange& exchange, HttpMessage response)
 {
     const bool awaited = std::any_of(this->exchanges.begin(), this->exchanges.end(), [&exchange](const auto& item) { return item.get() == &exchange; });
@@ -374,7 +404,7 @@
     removeFirst(this->queue);
     this->exchanges.pop_front();
     this->countHeldBytes();
-    if (this->closeAfterWrite) {
+    if (this->closeAfterWrite || (this->inputEnded && this->exchanges.empty())) {
         this->startLingeringClose();
         return;
     }
@@ -382,6 +412,7 @@
         this->setTimeout(this->server.handlers.limits().idleTimeout + idleTimeoutMargin);
     this->sendContinueIfDue();
     this->serveInput();
+    this->boundReceivedBytes();
     if (this->input.bytes().size() < maxBufferedBytes)
         this->read();
 }
--- a/packages/proxy/src/CallerStream.h
+++ b/packages/proxy/src/CallerStream.h
@@ -17,6 +17,8 @@
     void append(std::string_view bytes, TimePoint now);
     void consume(std::size_t count);
     void clear();
+    // Memory that they take.
+    std::size_t heldBytes() const noexcept { return this->text.empty() ? 0 : this->text.capacity(); }
     std::string_view bytes() const noexcept { return std::string_view(this->text).substr(this->start); }
     // When the first of the bytes arrived; there must be one.
     TimePoint oldestArrival() const noexcept { return this->arrivals.front().at; }
@@ -56,6 +58,18 @@
     // Bytes of requests and responses that are held.
     std::uint64_t heldBytes() const noexcept { return this->countedBytes; }
 
+    // Bytes of a request that isn't complete, or waits to be parsed, without a large body.
+    std::uint64_t receivingBytes() const noexcept { return this->countedReceivingBytes; }
+    // Room for the large body that is being received.
+    std::uint64_t reservedBytes() const noexcept { return this->bodyReservation ? this->bodyReservation->bytes() : 0; }
+    // When the first byte of it was received.
+    TimePoint receivingSince() const noexcept { return this->receivingStartedAt; }
+    // Whether a request that isn't complete arrives too slowly to hold memory that others need.
+    bool isSlowSender(TimePoint now) const noexcept { return this->isReceiving() && isSlow(this->sendingRate, this->server.memoryLimits, now); }
+    // Drops what has been received of a request that isn't complete, or hasn't been parsed, and reads no further one: the former is
+    // answered that it has not run for lack of memory, the latter waits behind requests whose last response closes the connection.
+    void refuseIncomplete();
+
     // Whether a request has been received whose response has not been written completely.
     bool isServing() const noexcept { return !this->exchanges.empty(); }
 
@@ -64,6 +78,9 @@
     void handleReadable(const asio::error_code&);
     // Counts what is held now.
     void countHeldBytes();
+    bool isReceiving() const noexcept { return !this->inputEnded && (this->reader.hasStarted() || !this->input.bytes().empty()); }
+    // Counts received bytes, and keeps those of incomplete requests within their limit.
+    void boundReceivedBytes();
     // Responds that the request has not run for lack of memory.
     void refuse(CallerExchange&);
     // Reads and starts requests as far as the queue allows.
@@ -107,8 +124,11 @@
     TimePoint startedAt;
     TimePoint timeoutAt;
     TimePoint writeStartedAt;
-    // As counted in the server's sum.
+    // As counted in the server's sums.
     std::uint64_t countedBytes { 0 };
+    std::uint64_t countedReceivingBytes { 0 };
+    TimePoint receivingStartedAt;
+    SendingRate sendingRate;
     bool timerArmed { false };
     bool serving { false };
     bool writing { false };
--- a/packages/proxy/src/PipelineQueue.cpp
+++ b/packages/proxy/src/PipelineQueue.cpp
@@ -66,6 +66,12 @@
     return NextResponse { queue.requests.front().number, queue.requests.front().last || (stopping && !startedBehind) };
 }
 
+void endWithNewest(PipelineQueue& queue) noexcept
+{
+    if (!queue.requests.empty())
+        queue.requests.back().last = true;
+}
+
 void removeFirst(PipelineQueue& queue)
 {
     queue.requests.pop_front();
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -76,12 +76,13 @@
             CallerServerHandlers { internalLimits, [this](const std::shared_ptr<CallerExchange>& caller) { this->handleMetricsRequest(*caller); } });
     }
     const auto limits = [this] { return this->appliedConfiguration ? this->appliedConfiguration->configuration.limits : CallerLimits {}; };
+    const auto vmBytes = static_cast<std::uint64_t>(this->settings.memoryMb * 1e6);
     this->callerServer = std::make_unique<CallerServer>(this->io, this->settings.callerAddress, maxCallerConnections,
         CallerServerHandlers { limits, [this](const std::shared_ptr<CallerExchange>& caller) {
                                   this->entry->handleRequest(caller);
                                   this->scheduleLogFlush(); },
             [this](const HttpMessage& request) { return this->entry->mayBeRepeated(request); } });
-    this->callerServer->boundMemory({}, [this] { return this->links->heldResponseBytes(); });
+    this->callerServer->boundMemory(memoryLimitsFor(vmBytes), [this] { return this->links->heldResponseBytes(); });
 }
 
 Proxy::~Proxy() = default;
@@ -574,6 +575,9 @@
     this->metrics.setGauge("flamingowick_target_connections_opened", {}, static_cast<double>(this->links->openedConnections()));
     this->metrics.setGauge("flamingowick_caller_bytes_held", {}, static_cast<double>(this->callerServer->heldBytes()));
     this->metrics.setGauge("flamingowick_slow_readers_cut", {}, static_cast<double>(this->callerServer->readersCutOff()));
+    this->metrics.setGauge("flamingowick_slow_senders_cut", {}, static_cast<double>(this->callerServer->sendersCutOff()));
+    this->metrics.setGauge("flamingowick_caller_bytes_receiving", {}, static_cast<double>(this->callerServer->receivingBytes()));
+    this->metrics.setGauge("flamingowick_caller_large_body_bytes", {}, static_cast<double>(this->callerServer->largeBodyBytes()));
     this->metrics.setGauge("flamingowick_refused_for_memory", {}, static_cast<double>(this->callerServer->requestsRefusedForMemory()));
     this->metrics.setGauge("flamingowick_tunnels_open", {}, static_cast<double>(this->tunnelServer->openTunnels()));
     this->metrics.setGauge("flamingowick_datagrams_sent", {}, static_cast<double>(this->peers->sentDatagrams()));
--- a/packages/proxy/src/ProxySettingsText.cpp
+++ b/packages/proxy/src/ProxySettingsText.cpp
@@ -85,6 +85,7 @@
         readText(reader, "storeAddress", Presence::Required, checkAddress, settings.storeAddress);
         readChoice<FleetStage>(reader, "fleetStage", fleetStages, settings.fleetStage);
         readNumber(reader, "linkMbps", { 0, 1e6 }, settings.linkMbps);
+        readNumber(reader, "memoryMb", { 64, 1e6 }, settings.memoryMb);
         readDuration(reader, "stopGrace", settings.stopGrace);
         readMilliseconds(reader, "lapseGraceMs", { milliseconds(0), minutes(1) }, settings.lapseGrace);
         readNumber(reader, "retryRatio", { 0, 10 }, settings.retryRatio);
--- a/packages/proxy/tests/unit-parts.cpp
+++ b/packages/proxy/tests/unit-parts.cpp
@@ -471,7 +471,7 @@
     static constexpr std::string_view validSettings = R"({
         // A daemon.
         "vm": "front-1", "failureDomain": "hall", "callerAddress": "10.0.0.1:80", "readyAddress": "10.0.0.1:81",
-        "peerAddress": "10.0.0.1:82", "storeAddress": "10.9.0.1:83", "stopGrace": "2.5s", "retryRatio": 0.2, "retryBurst": 56, "linkMbps": 200.0, "fleetStage": "running" })";
+        "peerAddress": "10.0.0.1:82", "storeAddress": "10.9.0.1:83", "stopGrace": "2.5s", "retryRatio": 0.2, "retryBurst": 56, "linkMbps": 200.0, "memoryMb": 260, "fleetStage": "running" })";
 };
 
 TEST(ProxySettingsTexts, AreParsedWithUnits)
@@ -482,6 +482,7 @@
     DOUBLES_EQUAL(56, checked.value.retryBurst, 0);
     CHECK(checked.value.fleetStage == FleetStage::Running);
     DOUBLES_EQUAL(200, checked.value.linkMbps, 0);
+    DOUBLES_EQUAL(260, checked.value.memoryMb, 0);
 }
 
 TEST(ProxySettingsTexts, AllFindingsAreReportedWithPointerAndLine)
--- a/packages/proxy/tests/unit-slow-readers.cpp
+++ b/packages/proxy/tests/unit-slow-readers.cpp
@@ -1,4 +1,4 @@
-#include "flamingowick/proxy/SlowReaders.h"
+#include "flamingowick/proxy/SlowCallers.h"
 
 #include <rapidcheck.h>
 
@@ -62,17 +62,17 @@
     const bool passed = rc::check([] {
         const TimePoint now { seconds(1000) };
         const MemoryLimits limits;
-        std::vector<Reader> readers;
+        std::vector<HoldingCaller> readers;
         const auto count = *rc::gen::inRange<std::size_t>(0, 40);
         for (std::size_t index = 0; index < count; ++index)
             readers.push_back({ *rc::gen::inRange<std::uint64_t>(1, 1000), now - milliseconds(*rc::gen::inRange(0, 6000)) });
         const auto excess = *rc::gen::inRange<std::uint64_t>(0, 20'000);
-        const std::vector<std::size_t> chosen = chooseReadersToCut(readers, excess, limits, now);
+        const std::vector<std::size_t> chosen = chooseCallersToCut(readers, excess, limits, now);
         std::vector<bool> isCut(readers.size());
         std::uint64_t freed = 0;
         for (const std::size_t index : chosen) {
             RC_ASSERT(freed < excess && !isCut[index]);
-            RC_ASSERT(now - readers[index].writingSince >= limits.slowAfter);
+            RC_ASSERT(now - readers[index].since >= limits.slowAfter);
             isCut[index] = true;
             freed += readers[index].heldBytes;
         }
@@ -80,8 +80,8 @@
             if (isCut[kept])
                 continue;
             // Another would have been cut off if that were not enough.
-            RC_ASSERT(freed >= excess || now - readers[kept].writingSince < limits.slowAfter);
-            RC_ASSERT(std::all_of(chosen.begin(), chosen.end(), [&](std::size_t index) { return readers[index].writingSince <= readers[kept].writingSince; }));
+            RC_ASSERT(freed >= excess || now - readers[kept].since < limits.slowAfter);
+            RC_ASSERT(std::all_of(chosen.begin(), chosen.end(), [&](std::size_t index) { return readers[index].since <= readers[kept].since; }));
         }
     });
     CHECK(passed);
@@ -128,3 +128,39 @@
     runFor(milliseconds(50));
     CHECK_EQUAL(0, server.heldBytes());
 }
+
+TEST_GROUP(SendingRates)
+{
+    MemoryLimits limits;
+    TimePoint start { seconds(100) };
+    SendingRate rate { start };
+};
+
+TEST(SendingRates, AreJudgedOverAnInterval)
+{
+    CHECK_FALSE(isSlow(rate, limits, start + milliseconds(1999)));
+    CHECK(isSlow(rate, limits, start + seconds(2)));
+    recordReceived(rate, 33'000, limits, start + seconds(1));
+    CHECK_FALSE(isSlow(rate, limits, start + seconds(2)));
+    CHECK(isSlow(rate, limits, start + seconds(3)));
+}
+
+TEST(SendingRates, OfCallersThatSendSingleBytesAreSlow)
+{
+    for (int second = 1; second <= 10; ++second) {
+        recordReceived(rate, 1, limits, start + seconds(second));
+        CHECK_EQUAL(second >= 2, isSlow(rate, limits, start + seconds(second)));
+    }
+    for (int second = 11; second <= 15; ++second)
+        recordReceived(rate, 100'000, limits, start + seconds(second));
+    CHECK_FALSE(isSlow(rate, limits, start + seconds(15)));
+}
+
+// The smallest VM takes a body of the largest size that the users' platform allows.
+TEST(SendingRates, LimitsFollowTheMemoryOfTheVm)
+{
+    const MemoryLimits small = memoryLimitsFor(160'000'000);
+    CHECK_COMPARE(small.maxSingleBodyBytes, >=, 67'108'864U);
+    CHECK_COMPARE(small.maxBytes + small.maxSingleBodyBytes, <, 160'000'000U * 3 / 4);
+    CHECK_EQUAL(MemoryLimits {}.maxBytes, memoryLimitsFor(512'000'000).maxBytes);
+}
