Allocate large bodies of unknown length once

What callers saw: clients that send bodies in chunks end a daemon on a small VM for its memory, though their bodies are refused in the end.

Cause: a body without a length grew by doubling, so that two copies of it were there while it did, and its room was reserved after it had grown. A body of 60 MB took 67 MB for itself and 34 MB more at its last step.

Change: at 64 KiB such a body is allocated by the limit. The system provides the pages that are used, and these are counted.

Evidence: IncompleteRequests.OfUnknownLengthAreAllocatedOnce can't pass without it (capacity).

--- a/packages/proxy/include/flamingowick/proxy/HttpMessage.h
+++ b/packages/proxy/include/flamingowick/proxy/HttpMessage.h
@@ -87,6 +87,11 @@
     std::uint64_t heldBytes() const noexcept;
     // Content-Length of the current message; 0 until its headers are complete, or if they state none.
     std::uint64_t declaredBodyBytes() const noexcept { return this->declaredBytes; }
+    // Memory that the body takes.
+    std::uint64_t heldBodyBytes() const noexcept;
+    // Allocates the current message's body as a whole, so that it isn't copied while it grows: by its length, or by the limit if it has none,
+    // of which the system provides only what is used. Throws std::bad_alloc.
+    void allocateWholeBody();
     HttpMessage& message() noexcept { return this->currentMessage; }
 
 private:
@@ -109,6 +114,7 @@
     bool headersCompleted { false };
     bool expectsNoBody { false };
     bool lastCallbackWasValue { false };
+    bool wholeBodyAllocated { false };
 };
 
 }
--- a/packages/proxy/src/CallerStream.cpp
+++ b/packages/proxy/src/CallerStream.cpp
@@ -218,16 +218,16 @@
 
 bool CallerStream::reserveBody()
 {
-    std::string& body = this->reader.message().body;
-    const std::uint64_t needed = std::max<std::uint64_t>(this->reader.declaredBodyBytes(), body.capacity());
+    const std::uint64_t needed = std::max<std::uint64_t>(this->reader.declaredBodyBytes(), this->reader.message().body.size());
     if (needed <= maxSmallBodyBytes || (this->bodyReservation && needed <= this->bodyReservation->bytes()))
         return true;
-    if (!this->bodyReservation)
+    const bool isFirst = !this->bodyReservation;
+    if (isFirst)
         this->bodyReservation = std::make_unique<BodyReservation>(this->server.reservedBodyBytes);
     if (!this->server.reserveBody(*this, *this->bodyReservation, needed))
         return false;
-    // A body that grows step by step is copied, and allocated up to twice its size.
-    body.reserve(this->reader.declaredBodyBytes());
+    if (isFirst)
+        this->reader.allocateWholeBody();
     return true;
 }
 
--- a/packages/proxy/src/HttpMessage.cpp
+++ b/packages/proxy/src/HttpMessage.cpp
@@ -95,6 +95,7 @@
     this->readState = ReadState::Incomplete;
     this->headerBytes = 0;
     this->declaredBytes = 0;
+    this->wholeBodyAllocated = false;
     this->messageStarted = false;
     this->headersCompleted = false;
     this->lastCallbackWasValue = false;
@@ -129,9 +130,22 @@
 }
 
 std::uint64_t MessageReader::heldBytes() const noexcept
+{
+    return this->headerBytes + this->currentMessage.headers.capacity() * sizeof(Header) + this->heldBodyBytes();
+}
+
+std::uint64_t MessageReader::heldBodyBytes() const noexcept
 {
     const std::string& body = this->currentMessage.body;
-    return this->headerBytes + this->currentMessage.headers.capacity() * sizeof(Header) + (body.empty() ? 0 : body.capacity());
+    if (body.empty())
+        return 0;
+    return this->wholeBodyAllocated ? body.size() : body.capacity();
+}
+
+void MessageReader::allocateWholeBody()
+{
+    this->currentMessage.body.reserve(this->declaredBytes > 0 ? this->declaredBytes : this->limits.maxBodyBytes);
+    this->wholeBodyAllocated = true;
 }
 
 bool MessageReader::addHeaderBytes(std::size_t size)
--- a/packages/proxy/tests/unit-incomplete-requests.cpp
+++ b/packages/proxy/tests/unit-incomplete-requests.cpp
@@ -127,3 +127,18 @@
     CHECK_EQUAL(8U, received.size());
     CHECK(std::any_of(callers.begin(), callers.end(), [](const auto& caller) { return headerValue(caller->responses.front(), "Connection") == "close"; }));
 }
+
+TEST(IncompleteRequests, OfUnknownLengthAreAllocatedOnce)
+{
+    RawCaller& caller = send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string block(10'000, 'b');
+    for (int count = 0; count < 100; ++count) {
+        caller.send("2710\r\n" + block + "\r\n");
+        io.poll();
+    }
+    CHECK(runUntil([this] { return server.largeBodyBytes() == 1'000'000; }));
+    caller.send("0\r\n\r\n");
+    CHECK(runUntil([this] { return received.size() == 1; }));
+    CHECK_EQUAL(1'000'000U, received.front()->request().body.size());
+    CHECK_EQUAL(64U << 20U, received.front()->request().body.capacity());
+}
