Let new connections take the place of those that are of least use

What callers saw: while clients hold 3,000 connections to a daemon without sending requests, or leaving them incomplete, every other caller's connection is closed as soon as it is accepted, for as long as the idle timeout is kept away with a byte now and then.

Cause: at the limit the newest connection was closed, whatever the others were doing. The limit was the same on a VM of 160 and of 512 MB.

Change: at the limit the connection of least use is closed: one that is closing, one with a slow sender, one that never had a request, a kept one; of these the one that has been quiet for longest. One that serves a request, or receives one, never is. The limit is one connection for each 80 KB of the VM's memory, 3,000 at most as before.

--- a/packages/proxy/include/flamingowick/proxy/CallerServer.h
+++ b/packages/proxy/include/flamingowick/proxy/CallerServer.h
@@ -72,7 +72,8 @@
 
 class CallerServer {
 public:
-    // Starts listening. Connections above the maximum are accepted and closed. Throws SettingsError 111 for an invalid
+    // Starts listening. A connection above the maximum takes the place of one that serves no request and whose caller sends none, or too
+    // slowly; it is closed itself if there is none. Throws SettingsError 111 for an invalid
     // address, GatewayError 400 when it can't be listened on.
     CallerServer(asio::io_context&, std::string_view address, unsigned maxConnections, CallerServerHandlers);
     ~CallerServer();
@@ -97,6 +98,7 @@
     std::uint64_t receivingBytes() const noexcept { return this->incompleteBytes; }
     std::uint64_t readersCutOff() const noexcept { return this->cutReaders; }
     std::uint64_t sendersCutOff() const noexcept { return this->cutSenders; }
+    std::uint64_t connectionsReplaced() const noexcept { return this->replacedConnections; }
     std::uint64_t requestsRefusedForMemory() const noexcept { return this->refusedForMemory; }
 
     // Stops listening and closes all connections that have no request in progress.
@@ -109,6 +111,9 @@
     friend class CallerStream;
 
     void accept();
+    // Closes the connection that is of least use, so that another one can be opened. Returns whether there was one. Linear in the
+    // connections.
+    bool closeLeastUseful();
     // Counts a change of the bytes that a connection holds.
     void changeHeldBytes(std::uint64_t before, std::uint64_t after);
     std::uint64_t excessBytes() const;
@@ -137,6 +142,7 @@
     std::uint64_t incompleteBytes { 0 };
     std::uint64_t cutReaders { 0 };
     std::uint64_t cutSenders { 0 };
+    std::uint64_t replacedConnections { 0 };
     std::uint64_t refusedForMemory { 0 };
     TimePoint nextCutAt {};
     TimePoint nextSenderCutAt {};
--- a/packages/proxy/include/flamingowick/proxy/MemoryLimits.h
+++ b/packages/proxy/include/flamingowick/proxy/MemoryLimits.h
@@ -27,4 +27,7 @@
 // Returns the limits for a VM with that much memory.
 MemoryLimits memoryLimitsFor(std::uint64_t vmBytes) noexcept;
 
+// Returns how many connections of callers a VM with that much memory keeps open.
+unsigned maxCallerConnectionsFor(std::uint64_t vmBytes) noexcept;
+
 }
--- a/packages/proxy/src/CallerServer.cpp
+++ b/packages/proxy/src/CallerServer.cpp
@@ -52,7 +52,7 @@
             });
             return;
         }
-        if (this->connections.size() < this->maxConnections) {
+        if (this->connections.size() < this->maxConnections || this->closeLeastUseful()) {
             setSocketOptions(socket);
             if (this->memoryLimits.maxBytes > 0)
                 limitUnsentBytes(socket, maxUnsentBytes);
@@ -64,6 +64,25 @@
     });
 }
 
+bool CallerServer::closeLeastUseful()
+{
+    const TimePoint now = Clock::now();
+    std::shared_ptr<CallerStream> chosen;
+    std::pair<ConnectionUse, TimePoint> least { ConnectionUse::Serving, {} };
+    for (const auto& connection : this->connections) {
+        const std::pair use { connection->use(now), connection->quietSince() };
+        if (use.first < ConnectionUse::Serving && (!chosen || use < least)) {
+            chosen = connection;
+            least = use;
+        }
+    }
+    if (!chosen)
+        return false;
+    chosen->cutOff();
+    ++this->replacedConnections;
+    return true;
+}
+
 void CallerServer::boundMemory(const MemoryLimits& limits, std::function<std::uint64_t()> elsewhere)
 {
     this->memoryLimits = limits;
--- a/packages/proxy/src/CallerStream.cpp
+++ b/packages/proxy/src/CallerStream.cpp
@@ -329,6 +329,17 @@
     this->respond(exchange, std::move(response));
 }
 
+ConnectionUse CallerStream::use(TimePoint now) const noexcept
+{
+    if (this->lingering)
+        return ConnectionUse::Ending;
+    if (!this->exchanges.empty())
+        return ConnectionUse::Serving;
+    if (this->isReceiving())
+        return this->isSlowSender(now) ? ConnectionUse::SendingSlowly : ConnectionUse::Serving;
+    return this->hasServed ? ConnectionUse::Idle : ConnectionUse::Unused;
+}
+
 void CallerStream::countHeldBytes()
 {
     const std::uint64_t receiving = this->closed ? 0 : this->input.heldBytes() + this->readBytes();
@@ -403,6 +414,8 @@
     }
     removeFirst(this->queue);
     this->exchanges.pop_front();
+    this->idleSince = Clock::now();
+    this->hasServed = true;
     this->countHeldBytes();
     if (this->closeAfterWrite || (this->inputEnded && this->exchanges.empty())) {
         this->startLingeringClose();
--- a/packages/proxy/src/CallerStream.h
+++ b/packages/proxy/src/CallerStream.h
@@ -37,6 +37,19 @@
     std::deque<Arrival> arrivals;
 };
 
+// What a connection is needed for, the least needed first.
+enum class ConnectionUse : std::uint8_t {
+    // Its last response has been written.
+    Ending,
+    // Its caller sends a request too slowly, or leaves it incomplete.
+    SendingSlowly,
+    // No request has been received.
+    Unused,
+    // It is kept for further requests.
+    Idle,
+    Serving,
+};
+
 class CallerStream : public std::enable_shared_from_this<CallerStream> {
 public:
     CallerStream(CallerServer&, asio::ip::tcp::socket);
@@ -66,6 +79,9 @@
     TimePoint receivingSince() const noexcept { return this->receivingStartedAt; }
     // Whether a request that isn't complete arrives too slowly to hold memory that others need.
     bool isSlowSender(TimePoint now) const noexcept { return this->isReceiving() && isSlow(this->sendingRate, this->server.memoryLimits, now); }
+    ConnectionUse use(TimePoint now) const noexcept;
+    // Since when it has served no request, or when the one that is being received began.
+    TimePoint quietSince() const noexcept { return this->isReceiving() ? this->receivingStartedAt : this->idleSince; }
     // Drops what has been received of a request that isn't complete, or hasn't been parsed, and reads no further one: the former is
     // answered that it has not run for lack of memory, the latter waits behind requests whose last response closes the connection.
     void refuseIncomplete();
@@ -129,6 +145,9 @@
     std::uint64_t countedReceivingBytes { 0 };
     TimePoint receivingStartedAt;
     SendingRate sendingRate;
+    // When the connection was accepted, or its last response had been written.
+    TimePoint idleSince { Clock::now() };
+    bool hasServed { false };
     bool timerArmed { false };
     bool serving { false };
     bool writing { false };
--- a/packages/proxy/src/MemoryLimits.cpp
+++ b/packages/proxy/src/MemoryLimits.cpp
@@ -4,6 +4,15 @@
 
 namespace flamingowick::proxy {
 
+namespace {
+
+    // A connection with its buffers in the kernel.
+    constexpr std::uint64_t bytesPerConnection = 80'000;
+    // Leaves file descriptors for targets, peers and the store.
+    constexpr std::uint64_t maxCallerConnections = 3000;
+
+}
+
 MemoryLimits memoryLimitsFor(std::uint64_t vmBytes) noexcept
 {
     MemoryLimits limits;
@@ -14,4 +23,9 @@
     return limits;
 }
 
+unsigned maxCallerConnectionsFor(std::uint64_t vmBytes) noexcept
+{
+    return static_cast<unsigned>(std::min(maxCallerConnections, vmBytes / bytesPerConnection));
+}
+
 }
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -18,8 +18,6 @@
     constexpr Duration stopCheckInterval { milliseconds(100) };
     // The same once the last responses are being sent.
     constexpr Duration lastStopCheckInterval { milliseconds(10) };
-    // Leaves file descriptors for targets, peers and the store.
-    constexpr unsigned maxCallerConnections = 3000;
     constexpr unsigned maxMonitoringConnections = 32;
     // Daemons that are told of a target's limit: its dispatcher, and those that take over when it and the next one end.
     constexpr std::size_t limitKeeperCount = 3;
@@ -77,7 +75,7 @@
     }
     const auto limits = [this] { return this->appliedConfiguration ? this->appliedConfiguration->configuration.limits : CallerLimits {}; };
     const auto vmBytes = static_cast<std::uint64_t>(this->settings.memoryMb * 1e6);
-    this->callerServer = std::make_unique<CallerServer>(this->io, this->settings.callerAddress, maxCallerConnections,
+    this->callerServer = std::make_unique<CallerServer>(this->io, this->settings.callerAddress, maxCallerConnectionsFor(vmBytes),
         CallerServerHandlers { limits, [this](const std::shared_ptr<CallerExchange>& caller) {
                                   this->entry->handleRequest(caller);
                                   this->scheduleLogFlush(); },
@@ -578,6 +576,7 @@
     this->metrics.setGauge("flamingowick_slow_senders_cut", {}, static_cast<double>(this->callerServer->sendersCutOff()));
     this->metrics.setGauge("flamingowick_caller_bytes_receiving", {}, static_cast<double>(this->callerServer->receivingBytes()));
     this->metrics.setGauge("flamingowick_caller_large_body_bytes", {}, static_cast<double>(this->callerServer->largeBodyBytes()));
+    this->metrics.setGauge("flamingowick_connections_replaced", {}, static_cast<double>(this->callerServer->connectionsReplaced()));
     this->metrics.setGauge("flamingowick_refused_for_memory", {}, static_cast<double>(this->callerServer->requestsRefusedForMemory()));
     this->metrics.setGauge("flamingowick_tunnels_open", {}, static_cast<double>(this->tunnelServer->openTunnels()));
     this->metrics.setGauge("flamingowick_datagrams_sent", {}, static_cast<double>(this->peers->sentDatagrams()));
