Return the memory of large bodies to the system when they are freed

What callers saw: a daemon that has freed large bodies still holds their memory beside that of the next ones, and ends for it on a small VM.

Cause: with each large allocation that is freed, the allocator raises the size up to which it keeps memory for itself, to 32 MiB at most.

Change: it keeps nothing from 1 MiB on.

--- a/packages/daemon/app/flamingowickd.cpp
+++ b/packages/daemon/app/flamingowickd.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
 #include <thread>
 
@@ -67,10 +68,20 @@
     return exitOk;
 }
 
+// Lets the system have the memory of large allocations back as soon as they are freed. By default the allocator keeps more of it with each one that
+// is freed, up to 32 MiB at a time, beside the bodies of requests that have taken its place.
+void returnLargeAllocations() noexcept
+{
+    constexpr int largeBytes = 1 << 20;
+    mallopt(M_MMAP_THRESHOLD, largeBytes);
+    mallopt(M_TRIM_THRESHOLD, largeBytes);
+}
+
 }
 
 int main(int argc, char** argv)
 {
+    returnLargeAllocations();
     gflags::SetUsageMessage("flamingowickd --settings FILE: runs one daemon of the proxy fleet.");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
