Bound what the kernel receives ahead on connections of callers

What callers saw: many clients that send at once end a daemon for its memory before it has read what they sent; unread bytes count.

Cause: the kernel receives 64 to 128 KiB ahead on each connection, also on those that wait to be accepted, and megabytes on one that was read quickly. With 1,200 connections that was 106 MB.

Change: the listener of callers has a receive buffer of 16 KiB, which its connections get before they are accepted. A connection with room for a large body gets 256 KiB. Setting it after the accept was tried and left 98 MB.

--- a/packages/proxy/include/flamingowick/proxy/Sockets.h
+++ b/packages/proxy/include/flamingowick/proxy/Sockets.h
@@ -21,6 +21,9 @@
 // Limits what the kernel takes over for a peer beyond what is on its way; the rest stays with the writer. Errors are ignored.
 void limitUnsentBytes(asio::ip::tcp::socket&, int bytes) noexcept;
 
+// Limits what the kernel receives before it is read; the peer has to wait with the rest. Errors are ignored.
+void limitUnreadBytes(asio::ip::tcp::socket&, int bytes) noexcept;
+
 // Parses "ip:port". Throws SettingsError 111 for any other text.
 asio::ip::tcp::endpoint parseTcpEndpoint(std::string_view address);
 asio::ip::udp::endpoint parseUdpEndpoint(std::string_view address);
--- a/packages/proxy/src/CallerServer.cpp
+++ b/packages/proxy/src/CallerServer.cpp
@@ -16,6 +16,8 @@
     constexpr std::size_t readBufferBytes = 16U << 10U;
     // Of a bounded server's connection: the kernel's buffers, which grow to some megabytes, aren't counted in its budget.
     constexpr int maxUnsentBytes = 128 << 10;
+    // The same of what is unread, also on connections that haven't been accepted yet, which may be many and are read in turn.
+    constexpr int maxUnreadBytes = 16 << 10;
     // Interval at which slow callers are looked for while there are none.
     constexpr Duration cutInterval { std::chrono::milliseconds(50) };
 
@@ -87,6 +89,8 @@
 {
     this->memoryLimits = limits;
     this->heldElsewhere = std::move(elsewhere);
+    asio::error_code ignored;
+    this->acceptor.set_option(asio::socket_base::receive_buffer_size(maxUnreadBytes), ignored);
 }
 
 std::uint64_t CallerServer::excessBytes() const
--- a/packages/proxy/src/CallerStream.cpp
+++ b/packages/proxy/src/CallerStream.cpp
@@ -26,6 +26,9 @@
         out.append(name).append(": ").append(value).append("\r\n");
     }
 
+    // Keeps a link busy over some milliseconds of delay. Only as many connections have it as have room reserved for a large body.
+    constexpr int maxUnreadBytesOfLargeBody = 256 << 10;
+
     bool hasNoBody(unsigned status) noexcept { return status == 204 || status == 304 || status < 200; }
 
     // Returns the header without the statement that the connection is closed and without the empty line.
@@ -226,8 +229,10 @@
         this->bodyReservation = std::make_unique<BodyReservation>(this->server.reservedBodyBytes);
     if (!this->server.reserveBody(*this, *this->bodyReservation, needed))
         return false;
-    if (isFirst)
+    if (isFirst) {
         this->reader.allocateWholeBody();
+        limitUnreadBytes(this->socket, maxUnreadBytesOfLargeBody);
+    }
     return true;
 }
 
--- a/packages/proxy/src/Sockets.cpp
+++ b/packages/proxy/src/Sockets.cpp
@@ -52,6 +52,12 @@
     socket.set_option(IntegerOption<IPPROTO_TCP, TCP_NOTSENT_LOWAT>(bytes), ignored);
 }
 
+void limitUnreadBytes(asio::ip::tcp::socket& socket, int bytes) noexcept
+{
+    asio::error_code ignored;
+    socket.set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+}
+
 asio::ip::tcp::endpoint parseTcpEndpoint(std::string_view address)
 {
     const auto [ip, port] = parseAddress(address);
