Take no answer whose status isn't one

What callers saw: a target in trouble sends an answer with status 000. On other systems the caller got it as an answer; here the request waited for its deadline and got 504. An answer with status 600 or more, or with 0200, was passed on.

Cause: parsers take any number of up to three digits, with zeros before it. A status below 100 counted as an interim response.

A status line that breaks them is no answer wherever answers are read: at targets, direct or through other daemons, at the object store, relays and peers (MessageReader), at the targets and the store of the product's own interface and in flamingowickctl (libcurl). Answers of that store without a length aren't taken as whole any more.

--- a/packages/ctl/src/Adapters.cpp
+++ b/packages/ctl/src/Adapters.cpp
@@ -1,5 +1,6 @@
 #include "flamingowick/ctl/Adapters.h"
 
+#include "flamingowick/model/HttpHead.h"
 #include "flamingowick/platform/PlatformClient.h"
 
 #include <curl/curl.h>
@@ -57,10 +58,17 @@
         return size * count;
     }
 
+    std::size_t checkLine(const char* bytes, std::size_t size, std::size_t count, void* target)
+    {
+        auto& head = *static_cast<ResponseHead*>(target);
+        readHeaderLine(head, { bytes, size * count });
+        return head.malformed ? 0 : size * count;
+    }
+
     using CurlHandle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
     using CurlHeaders = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
-    void prepare(CURL* handle, const std::string& url, curl_slist* headers, std::string& body)
+    void prepare(CURL* handle, const std::string& url, curl_slist* headers, ResponseHead& head, std::string& body)
     {
         curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
         curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
@@ -69,6 +77,8 @@
         curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, callTimeoutMs);
+        curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, checkLine);
+        curl_easy_setopt(handle, CURLOPT_HEADERDATA, &head);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, takeBytes);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &body);
     }
@@ -93,10 +103,13 @@
     if (!handle || !headers)
         return { 0, "", "libcurl can't be set up" };
     DaemonAnswer answer;
-    prepare(handle.get(), "http://" + std::string(address) + std::string(path), headers.get(), answer.body);
+    ResponseHead head;
+    prepare(handle.get(), "http://" + std::string(address) + std::string(path), headers.get(), head, answer.body);
     const CURLcode code = curl_easy_perform(handle.get());
     if (code != CURLE_OK)
         return { 0, "", curl_easy_strerror(code) };
+    if (!head.complete || !head.framed)
+        return { 0, "", "the answer may have been cut" };
     long status = 0;
     curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
     answer.status = static_cast<unsigned>(status);
--- a/packages/gateway/src/HttpServer.cpp
+++ b/packages/gateway/src/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "flamingowick/gateway/HttpServer.h"
 
 #include "flamingowick/model/Error.h"
+#include "flamingowick/model/HttpHead.h"
 
 #include <restinio/all.hpp>
 
@@ -60,21 +61,12 @@
         return std::chrono::duration_cast<std::chrono::steady_clock::duration>(duration);
     }
 
-    bool isTokenCharacter(char character)
-    {
-        static constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
-        bool isLetter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
-        bool isDigit = character >= '0' && character <= '9';
-        return isLetter || isDigit || punctuation.find(character) != std::string_view::npos;
-    }
-
     // The parser lets spaces through in names, which RFC 9110 section 5.1 doesn't.
     bool hasMalformedName(const restinio::http_request_header_t& header)
     {
         bool malformed = false;
         header.for_each_field([&](const auto& field) {
-            const std::string& name = field.name();
-            malformed = malformed || name.empty() || !std::all_of(name.begin(), name.end(), isTokenCharacter);
+            malformed = malformed || !isHeaderName(field.name());
         });
         return malformed;
     }
--- a/packages/gateway/src/TargetClient.cpp
+++ b/packages/gateway/src/TargetClient.cpp
@@ -3,11 +3,11 @@
 #include "flamingowick/gateway/HttpServer.h"
 #include "flamingowick/model/BoundedRing.h"
 #include "flamingowick/model/Error.h"
+#include "flamingowick/model/HttpHead.h"
 
 #include <curl/curl.h>
 
 #include <atomic>
-#include <strings.h>
 #include <thread>
 #include <unordered_map>
 #include <variant>
@@ -45,9 +45,7 @@
         unsigned sends { 0 };
         std::size_t headerBytes { 0 };
         bool tooLarge { false };
-        bool framed { false };
-        // The empty line after the last header was received.
-        bool headerComplete { false };
+        ResponseHead head;
 
         Transfer() = default;
         Transfer(const Transfer&) = delete;
@@ -86,11 +84,6 @@
         return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
     }
 
-    bool equalsIgnoringCase(std::string_view left, std::string_view right)
-    {
-        return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-    }
-
     std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* context)
     {
         auto* transfer = static_cast<Transfer*>(context);
@@ -100,24 +93,14 @@
             transfer->tooLarge = true;
             return 0;
         }
-        if (line.starts_with("HTTP/")) {
-            transfer->result.headers.clear();
-            transfer->framed = false;
-            transfer->headerComplete = false;
-            return line.size();
-        }
-        if (trim(line).empty()) {
-            transfer->headerComplete = true;
-            return line.size();
-        }
+        readHeaderLine(transfer->head, line);
+        if (transfer->head.malformed)
+            return 0;
         auto colon = line.find(':');
-        if (colon == std::string_view::npos)
-            return line.size();
-        std::string_view name = line.substr(0, colon);
-        std::string_view value = trim(line.substr(colon + 1));
-        if (equalsIgnoringCase(name, "Content-Length") || equalsIgnoringCase(name, "Transfer-Encoding"))
-            transfer->framed = true;
-        transfer->result.headers.push_back({ std::string(name), std::string(value) });
+        if (line.starts_with("HTTP/"))
+            transfer->result.headers.clear();
+        else if (colon != std::string_view::npos)
+            transfer->result.headers.push_back({ std::string(line.substr(0, colon)), std::string(trim(line.substr(colon + 1))) });
         return line.size();
     }
 
@@ -132,13 +115,13 @@
         if (code == CURLE_OK) {
             // libcurl reports no error when the connection closes in the middle of the header. A body that only the closing of the
             // connection ends can't be told from a cut one.
-            return transfer.headerComplete && (transfer.framed || hasNoBody(transfer)) ? AttemptEnd::Answered : AttemptEnd::BadAnswer;
+            return transfer.head.complete && (transfer.head.framed || hasNoBody(transfer)) ? AttemptEnd::Answered : AttemptEnd::BadAnswer;
         }
         if (transfer.sends == 0)
             return AttemptEnd::NotSent;
         if (code == CURLE_OPERATION_TIMEDOUT)
             return AttemptEnd::TimedOut;
-        if (transfer.tooLarge || transfer.result.status != 0)
+        if (transfer.tooLarge || transfer.head.malformed || transfer.result.status != 0)
             return AttemptEnd::BadAnswer;
         return AttemptEnd::ConnectionLost;
     }
--- a/packages/gateway/tests/unit-gateway.cpp
+++ b/packages/gateway/tests/unit-gateway.cpp
@@ -237,6 +237,17 @@
     }
 }
 
+// Guards against an answer with a status that the protocol doesn't have.
+TEST(TargetClient, TakesNoAnswerWithAStatusThatIsNone)
+{
+    SingleAttempts attempts;
+    for (const std::string status : { "000", "099", "600", "999", "0200", "20" }) {
+        ScriptedTarget target({ "HTTP/1.1 " + status + " OK\r\nContent-Length: 4\r\n\r\nfine" });
+        const AttemptResult result = attempts.run(target.address(), "GET", "");
+        CHECK_TEXT(result.end == AttemptEnd::BadAnswer || result.end == AttemptEnd::ConnectionLost, status.c_str());
+    }
+}
+
 TEST(TargetClient, EndsAnAnswerOverTheLimit)
 {
     SingleAttempts attempts;
--- a/packages/platform/src/CurlTransfers.cpp
+++ b/packages/platform/src/CurlTransfers.cpp
@@ -1,6 +1,7 @@
 #include "CurlTransfers.h"
 
 #include "flamingowick/model/Error.h"
+#include "flamingowick/model/HttpHead.h"
 
 #include <curl/curl.h>
 
@@ -30,6 +31,7 @@
         TransferRequest request;
         std::unique_ptr<CURL, EasyDeleter> easy;
         std::unique_ptr<curl_slist, ListDeleter> headers;
+        ResponseHead head;
         std::string body;
         std::array<char, CURL_ERROR_SIZE> error {};
     };
@@ -64,7 +66,10 @@
 
     std::size_t onHeader(char* data, std::size_t, std::size_t size, void* user)
     {
-        const Transfer& transfer = *static_cast<Transfer*>(user);
+        Transfer& transfer = *static_cast<Transfer*>(user);
+        readHeaderLine(transfer.head, { data, size });
+        if (transfer.head.malformed)
+            return 0;
         const bool endOfHeaders = std::string_view(data, size) == "\r\n";
         if (endOfHeaders && transfer.request.onResponseStart && responseStatus(transfer) == 200)
             transfer.request.onResponseStart();
@@ -137,15 +142,27 @@
         setOption(transfer, CURLOPT_PRIVATE, &transfer);
     }
 
+    // Whether the response's header is whole and says where its body ends. A watch's response may end with its connection, since each of its lines is
+    // complete by itself.
+    bool isWhole(const Transfer& transfer)
+    {
+        const unsigned status = responseStatus(transfer);
+        const bool endIsKnown = transfer.head.framed || status == 204 || status == 304 || transfer.request.onBodyBytes;
+        return transfer.head.complete && endIsKnown;
+    }
+
     Exchange describeExchange(const Transfer& transfer, CURLcode code)
     {
         Exchange exchange;
         exchange.write = transfer.request.isWrite;
         exchange.sent = hasSentBytes(transfer);
-        exchange.answered = code == CURLE_OK;
+        exchange.answered = code == CURLE_OK && isWhole(transfer);
         exchange.status = responseStatus(transfer);
         if (code != CURLE_OK)
-            exchange.error = transfer.error[0] != '\0' ? transfer.error.data() : curl_easy_strerror(code);
+            exchange.error = transfer.head.malformed ? "the response's header is malformed" : transfer.error[0] != '\0' ? transfer.error.data()
+                                                                                                                        : curl_easy_strerror(code);
+        else if (!exchange.answered)
+            exchange.error = "the response may have been cut";
         return exchange;
     }
 
--- a/packages/proxy/include/flamingowick/proxy/HttpMessage.h
+++ b/packages/proxy/include/flamingowick/proxy/HttpMessage.h
@@ -102,6 +102,16 @@
     static int onBody(http_parser*, const char* text, std::size_t size);
     static int onComplete(http_parser*);
     bool addHeaderBytes(std::size_t size);
+    // Checks the lines of a response's header for what the parser is lenient about. Returns whether they are valid so far.
+    bool checkResponseLines(std::string_view bytes);
+
+    struct HeaderLines {
+        // Up to the byte behind the status.
+        std::string statusLine {};
+        // Of the current line.
+        std::size_t lineBytes { 0 };
+        bool ended { false };
+    };
 
     Kind kind;
     ReadLimits limits;
@@ -115,6 +125,7 @@
     bool expectsNoBody { false };
     bool lastCallbackWasValue { false };
     bool wholeBodyAllocated { false };
+    HeaderLines headerLines;
 };
 
 }
--- a/packages/proxy/src/HttpMessage.cpp
+++ b/packages/proxy/src/HttpMessage.cpp
@@ -1,5 +1,7 @@
 #include "flamingowick/proxy/HttpMessage.h"
 
+#include "flamingowick/model/HttpHead.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -22,17 +24,6 @@
         return text;
     }
 
-    bool isToken(std::string_view name) noexcept
-    {
-        static constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
-        return !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char c) { return std::isalnum(c) != 0 || punctuation.find(static_cast<char>(c)) != std::string_view::npos; });
-    }
-
-    bool containsControlCharacter(std::string_view value) noexcept
-    {
-        return std::any_of(value.begin(), value.end(), [](unsigned char c) { return (c < 0x20U && c != '\t') || c == 0x7fU; });
-    }
-
     bool listContainsToken(std::string_view list, std::string_view token) noexcept
     {
         while (!list.empty()) {
@@ -96,6 +87,7 @@
     this->headerBytes = 0;
     this->declaredBytes = 0;
     this->wholeBodyAllocated = false;
+    this->headerLines = {};
     this->messageStarted = false;
     this->headersCompleted = false;
     this->lastCallbackWasValue = false;
@@ -117,12 +109,39 @@
     if (this->readState != ReadState::Incomplete || bytes.empty())
         return 0;
     this->messageStarted = true;
+    if (this->kind == Kind::Responses && !this->checkResponseLines(bytes)) {
+        this->readState = ReadState::Malformed;
+        return 0;
+    }
     const std::size_t consumed = http_parser_execute(&this->parser, &callbacks, bytes.data(), bytes.size());
     if (this->readState == ReadState::Incomplete && HTTP_PARSER_ERRNO(&this->parser) != HPE_OK)
         this->readState = HTTP_PARSER_ERRNO(&this->parser) == HPE_HEADER_OVERFLOW ? ReadState::HeaderTooLarge : ReadState::Malformed;
     return consumed;
 }
 
+bool MessageReader::checkResponseLines(std::string_view bytes)
+{
+    for (const char character : bytes) {
+        if (this->headerLines.ended)
+            return true;
+        const bool isLineBreak = character == '\r' || character == '\n';
+        std::string& statusLine = this->headerLines.statusLine;
+        if (statusLine.size() <= statusLineBytes && !(statusLine.empty() && isLineBreak)) {
+            statusLine.push_back(character);
+            const bool isWhole = statusLine.size() > statusLineBytes;
+            if ((isWhole || isLineBreak) && !isStatusLine(statusLine))
+                return false;
+        }
+        if (character == '\n') {
+            this->headerLines.ended = this->headerLines.lineBytes == 0 && !statusLine.empty();
+            this->headerLines.lineBytes = 0;
+        } else if (!isLineBreak) {
+            ++this->headerLines.lineBytes;
+        }
+    }
+    return true;
+}
+
 void MessageReader::finishStream()
 {
     if (this->readState == ReadState::Incomplete && this->headersCompleted && this->currentMessage.bodyEndsAtClose)
@@ -208,7 +227,7 @@
     // The parser accepts header names and values that other HTTP implementations may interpret differently, which would
     // allow request smuggling.
     for (const Header& header : message.headers) {
-        if (!isToken(header.name) || containsControlCharacter(header.value))
+        if (!isHeaderName(header.name) || !isHeaderValue(header.value))
             return -1;
     }
     if (reader.kind == Kind::Requests) {
--- a/packages/proxy/src/TunnelServer.cpp
+++ b/packages/proxy/src/TunnelServer.cpp
@@ -42,10 +42,13 @@
 
 TunnelReply parseTunnelReply(std::string_view header)
 {
-    const std::string_view status = header.substr(0, 13);
-    if (status == "HTTP/1.1 101 ")
-        return header.find(framedProtocol) == std::string_view::npos ? TunnelReply::EstablishedPlain : TunnelReply::Established;
-    return status == "HTTP/1.1 502 " ? TunnelReply::TargetUnreachable : TunnelReply::Unusable;
+    MessageReader reader(MessageReader::Kind::Responses, {});
+    reader.parse(header);
+    if (reader.state() != ReadState::Complete)
+        return TunnelReply::Unusable;
+    if (reader.message().status == 101)
+        return headerValue(reader.message(), "upgrade") == framedProtocol ? TunnelReply::Established : TunnelReply::EstablishedPlain;
+    return reader.message().status == 502 ? TunnelReply::TargetUnreachable : TunnelReply::Unusable;
 }
 
 class Tunnel : public std::enable_shared_from_this<Tunnel> {
--- a/packages/proxy/tests/unit-garbled-responses.cpp
+++ b/packages/proxy/tests/unit-garbled-responses.cpp
@@ -140,3 +140,17 @@
         }
     }
 }
+
+// Guards against an answer with a status that the protocol doesn't have: 000 was passed over like an interim response, until the deadline.
+TEST(GarbledResponses, AStatusThatIsNoneIsNoAnswer)
+{
+    for (const std::string_view status : { "000", "099", "600", "999", "0200", "20", " 200", "2x0" }) {
+        ProxyTestBed bed;
+        bed.addTarget([status](const HttpMessage&) { return "HTTP/1.1 " + std::string(status) + " OK\r\nX-Id: r\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\nfine"; });
+        bed.start(1, false);
+        auto caller = bed.connectCaller();
+        caller->send(makeRequest("r", "POST", "pay"));
+        CHECK(bed.runUntil([&] { return !caller->responses.empty() || caller->ended; }));
+        CHECK_EQUAL(502U, caller->responses.front().status);
+    }
+}
