Take no answer with a blank or a control byte in the name of a field

What callers saw: a target in trouble sends an answer in whose head the name of a field holds a blank or a control byte. The caller gets it as an answer, with that line passed on or with a body that isn't the target's.

Cause: on the data path a line that begins with a blank was added to the line before it, so that a length in it didn't count; other blanks and control bytes were found.

Change: no line may continue another one, and a name is a token, wherever answers are read.

--- a/packages/gateway/tests/unit-gateway.cpp
+++ b/packages/gateway/tests/unit-gateway.cpp
@@ -248,6 +248,16 @@
     }
 }
 
+// Guards against an answer that is passed on with a line that its readers understand differently, or with a body that such a line frames.
+TEST(TargetClient, TakesNoAnswerWithABlankOrAControlByteInTheNameOfAField)
+{
+    SingleAttempts attempts;
+    for (const std::string line : { "X Note: a", "X-Note : a", " X-Note: a", "\tX-Note: a", "X\x01Note: a", "X-Note\x7f: a", "Content-Length : 2", " Content-Length: 2", ": a", "note", "X-Note: a\x01" }) {
+        ScriptedTarget target({ "HTTP/1.1 200 OK\r\nX-Other: b\r\n" + line + "\r\nContent-Length: 4\r\n\r\nfine" });
+        CHECK(attempts.run(target.address(), "GET", "").end == AttemptEnd::BadAnswer);
+    }
+}
+
 TEST(TargetClient, EndsAnAnswerOverTheLimit)
 {
     SingleAttempts attempts;
--- a/packages/model/src/HttpHead.cpp
+++ b/packages/model/src/HttpHead.cpp
@@ -65,6 +65,7 @@
     }
     const std::size_t colon = line.find(':');
     const std::string_view name = line.substr(0, colon);
+    head.malformed = head.malformed || colon == std::string_view::npos || !isHeaderName(name) || !isHeaderValue(line.substr(colon + 1));
     head.framed = head.framed || equalsIgnoringCase(name, "Content-Length") || equalsIgnoringCase(name, "Transfer-Encoding");
 }
 
--- a/packages/model/tests/unit-http-head.cpp
+++ b/packages/model/tests/unit-http-head.cpp
@@ -32,4 +32,6 @@
     CHECK_FALSE(head.complete);
     readHeaderLine(head, "\r\n");
     CHECK(head.complete);
+    readHeaderLine(head, " folded: a\r\n");
+    CHECK(head.malformed);
 }
--- a/packages/platform/tests/unit-garbled-answers.cpp
+++ b/packages/platform/tests/unit-garbled-answers.cpp
@@ -79,6 +79,12 @@
         CHECK_FALSE(isAnswered("HTTP/1.1 " + status + " OK\r\n" + lengthField() + "\r\n"));
 }
 
+TEST(GarbledAnswers, WithABlankOrAControlByteInTheNameOfAFieldAreNoAnswers)
+{
+    for (const std::string line : { "X Note: a", "X-Note : a", " X-Note: a", "X\x01Note: a", "note" })
+        CHECK_FALSE(isAnswered("HTTP/1.1 200 OK\r\nX-Other: b\r\n" + line + "\r\n" + lengthField() + "\r\n"));
+}
+
 // Guards against an answer that ends with its connection, whether or not that was reset.
 TEST(GarbledAnswers, WithoutALengthAreNoAnswers)
 {
--- a/packages/proxy/src/HttpMessage.cpp
+++ b/packages/proxy/src/HttpMessage.cpp
@@ -136,6 +136,10 @@
             this->headerLines.ended = this->headerLines.lineBytes == 0 && !statusLine.empty();
             this->headerLines.lineBytes = 0;
         } else if (!isLineBreak) {
+            // A line that continues the one before it is obsolete, and can be taken for a field whose name begins with a blank.
+            const bool isContinuation = this->headerLines.lineBytes == 0 && !statusLine.empty() && (character == ' ' || character == '\t');
+            if (isContinuation)
+                return false;
             ++this->headerLines.lineBytes;
         }
     }
--- a/packages/proxy/tests/unit-garbled-responses.cpp
+++ b/packages/proxy/tests/unit-garbled-responses.cpp
@@ -154,3 +154,21 @@
         CHECK_EQUAL(502U, caller->responses.front().status);
     }
 }
+
+// Guards against a header that its readers understand differently: a line that begins with a blank was added to the line before, so that a length
+// or a signature in it was lost.
+TEST(GarbledResponses, AHeaderFieldWithABlankOrAControlByteInItsNameIsNoAnswer)
+{
+    for (const std::string_view line : { "X Note: a", "X-Note : a", " X-Note: a", "\tX-Note: a", "X\x01Note: a", "X-Note\x7f: a", "Content-Length : 2", " Content-Length: 2", "Transfer-Encoding\t: chunked", ": a", "note" }) {
+        for (const bool isFirst : { true, false }) {
+            ProxyTestBed bed;
+            const std::string bad = std::string(line) + "\r\n";
+            bed.addTarget([&](const HttpMessage&) { return "HTTP/1.1 200 OK\r\n" + (isFirst ? bad : std::string()) + "X-Id: r\r\nX-Signature: s\r\nX-Other: b\r\n" + (isFirst ? std::string() : bad) + "Content-Length: 4\r\n\r\nfine"; });
+            bed.start(1, false);
+            auto caller = bed.connectCaller();
+            caller->send(makeRequest("r", "POST", "pay"));
+            CHECK(bed.runUntil([&] { return !caller->responses.empty() || caller->ended; }));
+            CHECK_EQUAL(502U, caller->responses.front().status);
+        }
+    }
+}
