Bound what incomplete requests take at the product's own interface

What callers saw: clients that begin requests and stop just short of their end, whole, in small chunks or with many header fields, end a daemon with the product's own interface for its memory.

Cause: each of 10,000 connections may hold a body of twice the limit, 2 MiB, and for each chunk a record of 56 bytes. Requests that wait or run hold their bodies without a bound on all of them.

Change: incomplete requests have 32 MiB over all connections, counted after each read with 128 bytes more a line; the connection that receives more is closed. Bodies of requests without a response have 24 MiB; a further one gets 503 with Retry-After and doesn't run. The kernel receives 16 KiB ahead, and a connection's buffer has 4 KiB instead of 16.

Evidence: HttpServer.ClosesConnectionsWithIncompleteRequestsBeyondTheirRoom and RefusesBodiesBeyondTheirRoomWhileOthersRun can't be built without the change.

--- a/packages/gateway/include/flamingowick/gateway/HttpServer.h
+++ b/packages/gateway/include/flamingowick/gateway/HttpServer.h
@@ -50,6 +50,10 @@
     std::size_t maxHeaderFields { 100 };
     // A body over maxBodyBytes is answered 413; one over twice that size ends the connection.
     std::uint64_t maxBodyBytes { 1U << 20U };
+    // Memory of requests that aren't complete, over all connections. One that receives more of them is closed.
+    std::uint64_t maxIncompleteBytes { 32U << 20U };
+    // Bodies of requests without a response, over all connections. A request with a body beyond that is answered 503 and doesn't run.
+    std::uint64_t maxOutstandingBodyBytes { 24U << 20U };
     // How long a connection may take to send one request, idle time included.
     Duration readTimeout { std::chrono::seconds(30) };
     Duration writeTimeout { std::chrono::seconds(30) };
--- a/packages/gateway/src/HttpServer.cpp
+++ b/packages/gateway/src/HttpServer.cpp
@@ -25,8 +25,81 @@
         }
     };
 
+    // What an incomplete request takes beside its bytes for each line: a header field, or the record of a chunk, whose list grows by doubling.
+    constexpr std::uint64_t bytesPerLine = 128;
+
+    class CountingSocket;
+
+    // Memory of requests that aren't complete, over all connections of a server.
+    class IncompleteRequests : public asio::execution_context::service {
+    public:
+        using key_type = IncompleteRequests; // NOLINT(readability-identifier-naming): the name is Asio's.
+        inline static asio::execution_context::id id;
+
+        explicit IncompleteRequests(asio::execution_context& context)
+            : service(context)
+        {
+        }
+
+        std::uint64_t limit { 0 };
+        std::uint64_t total { 0 };
+        // The connection whose bytes are being parsed; null for none.
+        CountingSocket* current { nullptr };
+
+    private:
+        void shutdown() override { }
+    };
+
+    // A caller's connection, which ends itself when it has received a part of a request and there is no memory for more of them.
+    class CountingSocket : public asio::ip::tcp::socket {
+    public:
+        explicit CountingSocket(asio::io_context& context)
+            : asio::ip::tcp::socket(context)
+            , requests(&asio::use_service<IncompleteRequests>(context))
+        {
+        }
+
+        CountingSocket(CountingSocket&& other) noexcept
+            : asio::ip::tcp::socket(std::move(other))
+            , requests(other.requests)
+            , received(std::exchange(other.received, 0))
+        {
+        }
+
+        CountingSocket(const CountingSocket&) = delete;
+        CountingSocket& operator=(const CountingSocket&) = delete;
+        CountingSocket& operator=(CountingSocket&&) = delete;
+        ~CountingSocket() { this->forgetReceived(); }
+
+        // The request that was received is complete, or there will be none.
+        void forgetReceived() noexcept { this->requests->total -= std::exchange(this->received, 0); }
+
+        // NOLINTNEXTLINE(readability-identifier-naming): the name is Asio's.
+        template <typename Handler>
+        void async_read_some(const asio::mutable_buffer& buffer, Handler&& handler)
+        {
+            asio::ip::tcp::socket::async_read_some(asio::buffer(buffer), [this, buffer, parse = std::forward<Handler>(handler)](const asio::error_code& error, std::size_t size) mutable {
+                const std::string_view bytes(static_cast<const char*>(buffer.data()), size);
+                const std::uint64_t memory = size + bytesPerLine * static_cast<std::uint64_t>(std::count(bytes.begin(), bytes.end(), '\n'));
+                this->received += memory;
+                this->requests->total += memory;
+                this->requests->current = this;
+                parse(error, size);
+                this->requests->current = nullptr;
+                asio::error_code ignored;
+                if (this->received > 0 && this->requests->total > this->requests->limit)
+                    this->asio::ip::tcp::socket::shutdown(shutdown_both, ignored);
+            });
+        }
+
+    private:
+        IncompleteRequests* requests;
+        std::uint64_t received { 0 };
+    };
+
     // NOLINTBEGIN(readability-identifier-naming): the names are RESTinio's.
     struct ServerTraits : public restinio::default_single_thread_traits_t {
+        using stream_socket_t = CountingSocket;
         using connection_state_listener_t = ConnectionWatcher;
         using request_handler_t = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
         static constexpr bool use_connection_count_limiter = true;
@@ -37,7 +110,9 @@
 
     // The server reads ahead so that a closed connection is noticed while a request is worked on.
     constexpr std::size_t pipelinedRequests = 2;
-    constexpr std::size_t readBufferBytes = 16U << 10U;
+    constexpr std::size_t readBufferBytes = 4U << 10U;
+    // What the kernel receives ahead on a connection.
+    constexpr int maxUnreadBytes = 16 << 10;
 
     struct Endpoint {
         std::string ip;
@@ -110,6 +185,7 @@
     struct Exchange {
         restinio::request_handle_t request;
         restinio::connection_id_t connection { 0 };
+        std::uint64_t bodyBytes { 0 };
     };
 
     HttpServerSettings settings;
@@ -120,6 +196,8 @@
     std::unordered_map<ExchangeToken, Exchange> exchanges;
     std::unordered_multimap<restinio::connection_id_t, ExchangeToken> byConnection;
     ExchangeToken nextToken { 1 };
+    // Of the exchanges.
+    std::uint64_t bodyBytes { 0 };
     bool accepting { true };
     std::atomic<std::size_t> outstandingCount { 0 };
     std::uint16_t boundPort { 0 };
@@ -145,6 +223,7 @@
     void open()
     {
         Endpoint endpoint = parseEndpoint(this->settings.address);
+        asio::use_service<IncompleteRequests>(this->ioContext).limit = this->settings.maxIncompleteBytes;
         try {
             this->server = std::make_unique<Server>(restinio::external_io_context(this->ioContext),
                 [&](auto& options) { this->configure(options, endpoint); });
@@ -178,6 +257,8 @@
             .connection_state_listener(std::move(watcher))
             .acceptor_options_setter([](auto& acceptorOptions) {
                 acceptorOptions.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+                // Each connection gets it, also one that waits to be accepted.
+                acceptorOptions.set_option(asio::socket_base::receive_buffer_size(maxUnreadBytes));
             })
             .socket_options_setter([](auto& socketOptions) {
                 socketOptions.set_option(asio::ip::tcp::no_delay(true));
@@ -192,6 +273,8 @@
 
     restinio::request_handling_status_t handle(restinio::request_handle_t request)
     {
+        if (CountingSocket* socket = asio::use_service<IncompleteRequests>(this->ioContext).current)
+            socket->forgetReceived();
         if (hasMalformedName(request->header())) {
             writeResponse(request, { 400, {}, "malformed header name\n", true, {}, {} }, true);
             return restinio::request_accepted();
@@ -200,11 +283,17 @@
             writeResponse(request, { 413, {}, "request body too large\n", true, {}, {} }, true);
             return restinio::request_accepted();
         }
+        const std::uint64_t requestBodyBytes = request->body().size();
+        if (this->bodyBytes + requestBodyBytes > this->settings.maxOutstandingBodyBytes && requestBodyBytes > 0) {
+            writeResponse(request, { 503, { { "Retry-After", "1" } }, "no memory\n", true, {}, {} }, true);
+            return restinio::request_accepted();
+        }
+        this->bodyBytes += requestBodyBytes;
         ExchangeToken token = this->nextToken++;
         HttpRequest converted = convertRequest(token, *request);
         this->byConnection.emplace(request->connection_id(), token);
         auto connection = request->connection_id();
-        this->exchanges.emplace(token, Exchange { std::move(request), connection });
+        this->exchanges.emplace(token, Exchange { std::move(request), connection, requestBodyBytes });
         ++this->outstandingCount;
         this->handlers.onRequest(std::move(converted));
         return restinio::request_accepted();
@@ -216,7 +305,11 @@
         auto entry = std::find_if(first, last, [&](const auto& item) { return item.second == token; });
         if (entry != last)
             this->byConnection.erase(entry);
-        this->exchanges.erase(token);
+        const auto exchange = this->exchanges.find(token);
+        if (exchange == this->exchanges.end())
+            return;
+        this->bodyBytes -= exchange->second.bodyBytes;
+        this->exchanges.erase(exchange);
     }
 
     void connectionClosed(restinio::connection_id_t connection)
--- a/packages/gateway/tests/unit-gateway.cpp
+++ b/packages/gateway/tests/unit-gateway.cpp
@@ -188,6 +188,53 @@
     CHECK_EQUAL(1U, echo.hangUp.get_future().get());
 }
 
+// Guards against a daemon that ends for its memory while callers leave their requests incomplete.
+TEST(HttpServer, ClosesConnectionsWithIncompleteRequestsBeyondTheirRoom)
+{
+    HttpServerSettings settings;
+    settings.address = "127.0.0.1:0";
+    settings.maxIncompleteBytes = 20'000;
+    std::unique_ptr<HttpServer> server;
+    server = std::make_unique<HttpServer>(settings, HttpServerHandlers { [&server](const HttpRequest& request) { server->respond(request.token, { 200, {}, "fine", false, {}, {} }); }, [](ExchangeToken) {} });
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> held;
+    for (int count = 0; count < 2; ++count) {
+        held.emplace_back(context);
+        held.back().connect({ asio::ip::make_address("127.0.0.1"), server->port() });
+        const std::string part = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n" + std::string(4000, 'b');
+        asio::write(held.back(), asio::buffer(part));
+    }
+    CHECK_EQUAL(std::string(), exchangeRaw(server->port(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 18000\r\n\r\n" + std::string(16000, 'b')));
+    CHECK(exchangeRaw(server->port(), "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 1\r\n\r\nb").starts_with("HTTP/1.1 200"));
+    asio::write(held.front(), asio::buffer(std::string(5000, 'b')));
+    std::array<char, 12> status {};
+    asio::read(held.front(), asio::buffer(status));
+    CHECK_EQUAL(std::string("HTTP/1.1 200"), std::string(status.data(), status.size()));
+}
+
+TEST(HttpServer, RefusesBodiesBeyondTheirRoomWhileOthersRun)
+{
+    HttpServerSettings settings;
+    settings.address = "127.0.0.1:0";
+    settings.maxOutstandingBodyBytes = 1000;
+    std::promise<ExchangeToken> first;
+    HttpServer server(settings, { [&first](const HttpRequest& request) { first.set_value(request.token); }, [](ExchangeToken) {} });
+    asio::io_context context;
+    asio::ip::tcp::socket caller(context);
+    caller.connect({ asio::ip::make_address("127.0.0.1"), server.port() });
+    const std::string request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 600\r\n\r\n" + std::string(600, 'b');
+    asio::write(caller, asio::buffer(request));
+    const ExchangeToken token = first.get_future().get();
+    const std::string refused = exchangeRaw(server.port(), request);
+    CHECK(refused.starts_with("HTTP/1.1 503"));
+    CHECK(refused.find("Retry-After: 1") != std::string::npos);
+    server.respond(token, { 200, {}, "fine", true, {}, {} });
+    std::string answer;
+    asio::error_code ignored;
+    asio::read(caller, asio::dynamic_buffer(answer), ignored);
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+}
+
 TEST_GROUP(TargetClient) {};
 
 TEST(TargetClient, SaysNotSentOnlyWhenNoConnectionWasMade)
--- a/packages/platform/tests/unit-garbled-answers.cpp
+++ b/packages/platform/tests/unit-garbled-answers.cpp
@@ -47,26 +47,25 @@
     std::thread thread;
 };
 
+// Writes an object to a store that answers with the bytes, and returns whether the client took them for an answer.
+bool isAnswered(const std::string& head)
+{
+    ScriptedStore store(head + object);
+    Recorder recorder;
+    ClientSettings settings;
+    settings.url = store.url();
+    settings.vm = "vm-1";
+    PlatformClient client(settings, recorder.handler());
+    CHECK(client.submit(Put { 1, { Plural::KeyRanges, "r", "1", "c", "test", R"({"epoch":1})" } }));
+    CHECK(recorder.awaitCount(1));
+    return std::holds_alternative<Applied>(recorder.all().front());
 }
 
-TEST_GROUP(GarbledAnswers)
-{
-    // Writes an object to a store that answers with the bytes, and returns whether the client took them for an answer.
-    static bool isAnswered(const std::string& head, const std::string& body = object)
-    {
-        ScriptedStore store(head + body);
-        Recorder recorder;
-        ClientSettings settings;
-        settings.url = store.url();
-        settings.vm = "vm-1";
-        PlatformClient client(settings, recorder.handler());
-        CHECK(client.submit(Put { 1, { Plural::KeyRanges, "r", "1", "c", "test", R"({"epoch":1})" } }));
-        CHECK(recorder.awaitCount(1));
-        return std::holds_alternative<Applied>(recorder.all().front());
-    }
+std::string lengthField() { return "Content-Length: " + std::to_string(object.size()) + "\r\n"; }
 
-    static std::string lengthField() { return "Content-Length: " + std::to_string(object.size()) + "\r\n"; }
-};
+}
+
+TEST_GROUP(GarbledAnswers) {};
 
 TEST(GarbledAnswers, WholeOnesAreTaken)
 {
