Close connections after requests with large bodies

What callers would see: clients that send one large body on each connection, and then much at once, end a daemon that is short of processor time: the kernel receives 256 KiB ahead on each.

Change: the response to such a request closes the connection.

Evidence: LargeRequests.AreTheLastOnesOfTheirConnections fails without it.

--- a/packages/proxy/include/flamingowick/proxy/CallerServer.h
+++ b/packages/proxy/include/flamingowick/proxy/CallerServer.h
@@ -73,8 +73,8 @@
 class CallerServer {
 public:
     // Starts listening. A connection above the maximum takes the place of one that serves no request and whose caller sends none, or too
-    // slowly; it is closed itself if there is none. Throws SettingsError 111 for an invalid
-    // address, GatewayError 400 when it can't be listened on.
+    // slowly; it is closed itself if there is none. Throws SettingsError 111 for an invalid address, GatewayError 400 when it can't be
+    // listened on.
     CallerServer(asio::io_context&, std::string_view address, unsigned maxConnections, CallerServerHandlers);
     ~CallerServer();
     CallerServer(const CallerServer&) = delete;
--- a/packages/proxy/src/CallerStream.cpp
+++ b/packages/proxy/src/CallerStream.cpp
@@ -295,7 +295,8 @@
 {
     HttpMessage& message = this->reader.message();
     const bool concurrent = this->server.handlers.mayRunConcurrently && this->server.handlers.mayRunConcurrently(message);
-    const bool last = !message.keepAlive;
+    // What the kernel receives ahead on a connection can't be lowered once it was raised for a large body.
+    const bool last = !message.keepAlive || this->bodyReservation;
     this->enqueue(std::move(message), last, concurrent);
 }
 
--- a/packages/proxy/tests/unit-large-requests.cpp
+++ b/packages/proxy/tests/unit-large-requests.cpp
@@ -95,6 +95,19 @@
     CHECK_EQUAL(200, large.responses.front().status);
 }
 
+// Guards against connections that keep the large buffers of the kernel, which no budget counts.
+TEST(LargeRequests, AreTheLastOnesOfTheirConnections)
+{
+    for (const std::size_t bytes : { std::size_t { 64 } << 10U, std::size_t { 100'000 } }) {
+        RawCaller& caller = send(headerOf(bytes));
+        sendBody(caller, bytes);
+        CHECK(runUntil([this] { return received.size() == 1; }));
+        answerAll();
+        CHECK(runUntil([&caller] { return !caller.responses.empty(); }));
+        CHECK_EQUAL(bytes > 64U << 10U ? std::string("close") : std::string(), std::string(headerValue(caller.responses.front(), "Connection")));
+    }
+}
+
 TEST(LargeRequests, AreReadTogetherAsFarAsTheyFit)
 {
     for (int count = 0; count < 3; ++count)
