Let slow uploads make way only as far as others need their room

What callers would see: several slow uploads are refused for one large body that lacks a little room.

Cause: room was made for the whole body, not for what it lacks.

Evidence: IncompleteRequests.WithLargeBodiesMakeRoomOnlyAsFarAsOthersNeedIt fails without the change.

--- a/packages/proxy/src/CallerServer.cpp
+++ b/packages/proxy/src/CallerServer.cpp
@@ -147,7 +147,8 @@
     const std::uint64_t limit = this->memoryLimits.maxBytes > 0 ? this->memoryLimits.maxLargeBodyBytes : 0;
     if (reservation.growTo(bytes, limit))
         return true;
-    this->cutSlowSenders(stream, bytes, [](const CallerStream& other) { return other.reservedBytes(); });
+    const std::uint64_t others = *this->reservedBodyBytes - reservation.bytes();
+    this->cutSlowSenders(stream, others + bytes - limit, [](const CallerStream& other) { return other.reservedBytes(); });
     return reservation.growTo(bytes, limit);
 }
 
--- a/packages/proxy/tests/unit-incomplete-requests.cpp
+++ b/packages/proxy/tests/unit-incomplete-requests.cpp
@@ -109,6 +109,19 @@
     CHECK_EQUAL(50'000'000, server.largeBodyBytes());
 }
 
+// Guards against slow uploads that are refused though there is room without them.
+TEST(IncompleteRequests, WithLargeBodiesMakeRoomOnlyAsFarAsOthersNeedIt)
+{
+    RawCaller& first = send(headerOf(20'000'000) + "b");
+    RawCaller& second = send(headerOf(20'000'000) + "b");
+    runFor(2 * limits.slowAfter);
+    send(headerOf(25'000'000));
+    CHECK(runUntil([&first] { return !first.responses.empty(); }));
+    runFor(milliseconds(20));
+    CHECK_EQUAL(0U, second.responses.size());
+    CHECK_EQUAL(45'000'000, server.largeBodyBytes());
+}
+
 // Guards against input that is held without end while the requests before it wait for their targets.
 TEST(IncompleteRequests, BehindRunningOnesAreDroppedForOthers)
 {
