End the daemons of a review script that is ended by a signal

Cause: a script that got a signal left the daemons that it had started.

Change: the runner of the stand-ins cancels the case, which ends them.

--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -430,10 +431,18 @@
 
 
 def run(main):
-    """Runs a case: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run."""
+    """Runs a case: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run. A signal ends it with all that it started."""
+
+    async def bounded():
+        case = asyncio.ensure_future(asyncio.wait_for(main(), 110))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, case.cancel)
+        return await case
+
     try:
-        code = asyncio.run(asyncio.wait_for(main(), 110))
-    except Exception as error:  # Whatever it is, the case has shown nothing.
+        code = asyncio.run(bounded())
+    except (Exception, asyncio.CancelledError) as error:  # Whatever it is, the case has shown nothing.
         print(f"the case couldn't run: {error!r}")
         code = 2
+    sys.stdout.flush()
     os._exit(code)
