End a review script without waiting for its stand-ins

Cause: asyncio waits for each task at its end, and one that misses its cancellation holds it for ever; a signal no longer ended such a script.

Change: the runner leaves as soon as the case has ended its daemons.

--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -437,12 +437,13 @@
         case = asyncio.ensure_future(asyncio.wait_for(main(), 110))
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, case.cancel)
-        return await case
-
-    try:
-        code = asyncio.run(bounded())
-    except (Exception, asyncio.CancelledError) as error:  # Whatever it is, the case has shown nothing.
-        print(f"the case couldn't run: {error!r}")
-        code = 2
-    sys.stdout.flush()
-    os._exit(code)
+        try:
+            code = await case
+        except (Exception, asyncio.CancelledError) as error:  # Whatever it is, the case has shown nothing.
+            print(f"the case couldn't run: {error!r}")
+            code = 2
+        # Everything has ended but the tasks of stand-ins, which may miss their cancellation.
+        sys.stdout.flush()
+        os._exit(code)
+
+    asyncio.run(bounded())
