Keep what a target says after its entry has gone

Cause: what a target says is kept with its entry and remembered from there when the entry is removed. What it says later, in the answers to requests that it has in hand, is ignored, and a last heartbeat that the store executes late lists it again as ready.

Change: that it leaves, holds off or has a limit is recorded for the incarnation, listed or gone. The next start under its name begins without, whichever arrives first.

Tests: StaysThoughItIsSaidAfterTheEntryHasGone and AndOtherStatementsHoldThoughTheyAreMadeAfterTheEntryHasGone failed before.

--- a/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
@@ -136,16 +136,16 @@
 // Returns the number of targets of a service, leaving ones included. Linear in all entries.
 std::size_t countTargets(const TargetDirectory&, std::string_view service);
 
-// Records that a target has said itself that it is leaving, whatever its entry says. Ignored if the instance isn't listed
-// or has restarted since startedAt. Logarithmic.
+// Records that a target has said itself that it is leaving, whatever its entry says. Remembered for a target that has gone, since its entry
+// may be listed again. Ignored if the instance isn't known or has restarted since startedAt. Logarithmic.
 DirectoryChange markLeaving(TargetDirectory&, std::string_view instance, std::int64_t startedAt);
 
-// Records the limit that a target has named, in requests per second, or that a response of it named none. Ignored if the
-// instance isn't listed or has restarted since startedAt. Logarithmic.
+// Records the limit that a target has named, in requests per second, or that a response of it named none. Remembered and ignored as by
+// markLeaving(). Logarithmic.
 DirectoryChange setRequestLimit(TargetDirectory&, std::string_view instance, std::int64_t startedAt, std::optional<double> perSecond, TimePoint now);
 
 // Records that a target wants no requests from this daemon before the given time. An end that is later already stays.
-// Ignored if the instance isn't listed or has restarted since startedAt. Logarithmic.
+// Remembered and ignored as by markLeaving(). Logarithmic.
 void holdOff(TargetDirectory&, std::string_view instance, std::int64_t startedAt, TimePoint until);
 
 // Returns whether the target wants no requests from this daemon at this time. Never throws.
--- a/packages/proxy/src/TargetDirectory.cpp
+++ b/packages/proxy/src/TargetDirectory.cpp
@@ -52,6 +52,20 @@
         return gone == directory.gone.end() || gone->second.known.entry.startedAt == 0 ? nullptr : &gone->second.known;
     }
 
+    // Returns the incarnation of a target, whether it is listed or has gone; nullptr if it isn't known.
+    DirectoryEntry* findIncarnation(TargetDirectory& directory, std::string_view instance, std::int64_t startedAt)
+    {
+        if (const auto found = directory.entries.find(instance); found != directory.entries.end())
+            return found->second.entry.startedAt == startedAt ? &found->second : nullptr;
+        const auto gone = directory.gone.find(instance);
+        return gone != directory.gone.end() && gone->second.known.entry.startedAt == startedAt ? &gone->second.known : nullptr;
+    }
+
+    bool isListed(const TargetDirectory& directory, std::string_view instance)
+    {
+        return directory.entries.find(instance) != directory.entries.end();
+    }
+
     // Returns whether a later start of the target is known: the entry is a write of the earlier one that the store has executed
     // late.
     bool isOutdated(const TargetDirectory& directory, const TargetEntry& entry)
@@ -250,11 +264,12 @@
 DirectoryChange markLeaving(TargetDirectory& directory, std::string_view instance, std::int64_t startedAt)
 {
     DirectoryChange change;
-    const auto found = directory.entries.find(instance);
-    if (found == directory.entries.end() || found->second.entry.startedAt != startedAt || found->second.entry.target.leaving)
+    DirectoryEntry* known = findIncarnation(directory, instance, startedAt);
+    if (!known || known->entry.target.leaving)
         return change;
-    found->second.entry.target.leaving = true;
-    change.changedServices.insert(found->second.entry.service);
+    known->entry.target.leaving = true;
+    if (isListed(directory, instance))
+        change.changedServices.insert(known->entry.service);
     change.leaving.emplace_back(instance);
     return change;
 }
@@ -262,30 +277,26 @@
 DirectoryChange setRequestLimit(TargetDirectory& directory, std::string_view instance, std::int64_t startedAt, std::optional<double> perSecond, TimePoint now)
 {
     DirectoryChange change;
-    const auto found = directory.entries.find(instance);
-    if (found == directory.entries.end() || found->second.entry.startedAt != startedAt)
-        return change;
-    DirectoryEntry& known = found->second;
-    if (!perSecond && (!known.limitNamedAt || now - *known.limitNamedAt < directory.limits.limitReorderSpan))
+    DirectoryEntry* known = findIncarnation(directory, instance, startedAt);
+    if (!known || (!perSecond && (!known->limitNamedAt || now - *known->limitNamedAt < directory.limits.limitReorderSpan)))
         return change;
     if (perSecond)
         perSecond = std::max(*perSecond, directory.limits.minRequestsPerSecond);
-    known.limitNamedAt = perSecond ? std::optional<TimePoint>(now) : std::nullopt;
-    if (known.entry.target.requestsPerSecond == perSecond)
+    known->limitNamedAt = perSecond ? std::optional<TimePoint>(now) : std::nullopt;
+    if (known->entry.target.requestsPerSecond == perSecond)
         return change;
-    known.entry.target.requestsPerSecond = perSecond;
-    change.changedServices.insert(known.entry.service);
+    known->entry.target.requestsPerSecond = perSecond;
+    if (!isListed(directory, instance))
+        return change;
+    change.changedServices.insert(known->entry.service);
     change.limitsChanged.emplace_back(instance);
     return change;
 }
 
 void holdOff(TargetDirectory& directory, std::string_view instance, std::int64_t startedAt, TimePoint until)
 {
-    const auto found = directory.entries.find(instance);
-    if (found == directory.entries.end() || found->second.entry.startedAt != startedAt)
-        return;
-    std::optional<TimePoint>& heldOffUntil = found->second.heldOffUntil;
-    heldOffUntil = std::max(heldOffUntil.value_or(until), until);
+    if (DirectoryEntry* known = findIncarnation(directory, instance, startedAt))
+        known->heldOffUntil = std::max(known->heldOffUntil.value_or(until), until);
 }
 
 bool isHeldOff(const DirectoryEntry& known, TimePoint now) noexcept
--- a/packages/proxy/tests/unit-leaving.cpp
+++ b/packages/proxy/tests/unit-leaving.cpp
@@ -114,6 +114,46 @@
     CHECK(acceptsRequests(directory, "i-1", now + seconds(5)));
 }
 
+// Guards against requests to a leaving target that has said so after its entry had gone, and whose last heartbeat the store executes late.
+TEST(Leaving, StaysThoughItIsSaidAfterTheEntryHasGone)
+{
+    const TimePoint now = Clock::now();
+    TargetDirectory directory;
+    TargetEntry entry = entryOf("i-1", 2);
+    const std::vector<TargetEntry> written { entry };
+    const std::vector<std::string> removed { "i-1" };
+    applyEntryChanges(directory, written, {}, now, seconds(60));
+    applyEntryChanges(directory, {}, removed, now, seconds(60));
+    CHECK(directory.entries.empty());
+    CHECK_EQUAL(1U, markLeaving(directory, "i-1", 2).leaving.size());
+    CHECK(markLeaving(directory, "i-1", 2).leaving.empty());
+    applyEntryChanges(directory, written, {}, now + seconds(4), seconds(60));
+    CHECK_FALSE(acceptsRequests(directory, "i-1", now + seconds(4)));
+    // The next start has said nothing, whether the word of the earlier one arrives before or after its entry.
+    applyEntryChanges(directory, {}, removed, now + seconds(5), seconds(60));
+    markLeaving(directory, "i-1", 2);
+    entry.startedAt = 3;
+    applyEntryChanges(directory, std::vector<TargetEntry> { entry }, {}, now + seconds(6), seconds(60));
+    markLeaving(directory, "i-1", 2);
+    CHECK(acceptsRequests(directory, "i-1", now + seconds(6)));
+}
+
+// The same for a target that wants nothing for a while, or has a limit.
+TEST(Leaving, AndOtherStatementsHoldThoughTheyAreMadeAfterTheEntryHasGone)
+{
+    const TimePoint now = Clock::now();
+    TargetDirectory directory;
+    const std::vector<TargetEntry> written { entryOf("i-1", 2) };
+    applyEntryChanges(directory, written, {}, now, seconds(60));
+    applyEntryChanges(directory, {}, std::vector<std::string> { "i-1" }, now, seconds(60));
+    holdOff(directory, "i-1", 2, now + seconds(10));
+    CHECK(setRequestLimit(directory, "i-1", 2, 3, now).changedServices.empty());
+    applyEntryChanges(directory, written, {}, now + seconds(4), seconds(60));
+    CHECK_FALSE(acceptsRequests(directory, "i-1", now + seconds(4)));
+    CHECK(acceptsRequests(directory, "i-1", now + seconds(10)));
+    CHECK_EQUAL(3.0, targetsOf(directory, "stock").at(0).requestsPerSecond.value());
+}
+
 TEST(Leaving, HoldsThoughTheDispatcherDoesNotKnow)
 {
     const ScriptedTarget& leaving = addTarget("200 OK", "X-Leaving: 1\r\n");
