Give no grace after outages that are too short for entries to lapse

Cause: each outage gave 2.3 s of grace to targets whose entries are removed, since they may have lapsed in it. An entry lapses after three heartbeats of 1.5 s, so that none can in an outage of less than 3 s.

Change: the directory knows the last contact with the store before an outage. One that ends less than 2.5 s after it gives no grace; outages within 4.5 s of each other count as one; the store's return from a copy gives the grace however short it was away.

Two tests of the directory need the change to be built.

--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -37,7 +37,7 @@
     Duration storeConnectedFor() const;
 
     // Handle the start and the end of a store outage.
-    void handleStoreUnavailable(std::string_view reason);
+    void handleStoreUnavailable(std::string_view reason, std::optional<TimePoint> lastContactAt = std::nullopt);
     void handleStoreAvailable();
 
     // Handles that the store has returned from an older copy. Targets that it lacks have the grace of an outage, and those
--- a/packages/proxy/include/flamingowick/proxy/StateFeed.h
+++ b/packages/proxy/include/flamingowick/proxy/StateFeed.h
@@ -81,6 +81,9 @@
     // Records that the store has answered this daemon.
     void recordStoreContact();
 
+    // Returns when the store last answered this daemon or a relay of it, as far as is known.
+    TimePoint lastContactAt() const noexcept { return this->lastStoreContactAt; }
+
     // Decides whether this daemon is a relay, which relays it follows and whether it watches the store. To be called
     // when the membership becomes known or changes.
     void reviewRoles();
--- a/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
@@ -26,6 +26,11 @@
 struct DirectoryLimits {
     // How long after a store outage targets are kept whose entries expired during it, so that they can write them again.
     Duration lapseGrace { std::chrono::milliseconds(2300) };
+    // The shortest outage in which entries may have lapsed: after three heartbeats of silence, of 1.5 s each, of which one may have been
+    // sent just before it. Less a margin.
+    Duration shortestLapsingOutage { std::chrono::milliseconds(2500) };
+    // Outages that follow each other sooner count as one, since a target may have reached the store in none of the times between.
+    Duration separateOutageTime { std::chrono::milliseconds(4500) };
     // How long a target is kept whose entry was removed together with many others: more likely the store has lost the
     // entries than that all the targets are gone. Shorter than the time for which a leaving target still serves.
     Duration massLossGrace { std::chrono::milliseconds(1500) };
@@ -88,8 +93,11 @@
     std::map<std::string, TargetEntry, std::less<>> reappeared {};
     std::optional<TimePoint> leftOutUntil {};
     std::map<std::string, OutdatedEntry, std::less<>> outdated {};
-    // When the last store outage ended; none before the end of the first.
+    // When the last store outage ended in which entries may have lapsed; none before the end of the first.
     std::optional<TimePoint> lastStoreOutageAt;
+    // The last contact with the store before the present or last outage, none if it isn't known, and the end of that outage.
+    std::optional<TimePoint> contactLostAt {};
+    std::optional<TimePoint> contactRegainedAt {};
     bool storeUnavailable { false };
     // Services of the entries removed within massLossSpan, by the time of removal; to detect a mass loss.
     std::multimap<TimePoint, std::string> recentRemovals;
@@ -115,8 +123,9 @@
 // connection, even while this daemon itself can't reach the store.
 DirectoryChange applyEntryChanges(TargetDirectory&, std::span<const TargetEntry> written, std::span<const std::string> removed, TimePoint now, Duration storeConnectedFor = Duration::zero());
 
-// Record the start and the end of a store outage.
-void markStoreUnavailable(TargetDirectory&);
+// Record the start and the end of a store outage. With a known time of the last contact before it, an outage that was too short for entries to
+// lapse in it gives no grace to those that were removed.
+void markStoreUnavailable(TargetDirectory&, std::optional<TimePoint> lastContactAt = std::nullopt);
 void markStoreAvailable(TargetDirectory&, TimePoint now);
 
 // Records that the store has returned from an older copy: targets that had gone and that it lists again are left out until
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -227,11 +227,11 @@
     });
 }
 
-void Proxy::handleStoreUnavailable(std::string_view reason)
+void Proxy::handleStoreUnavailable(std::string_view reason, std::optional<TimePoint> lastContactAt)
 {
     if (this->directory.storeUnavailable)
         return;
-    markStoreUnavailable(this->directory);
+    markStoreUnavailable(this->directory, lastContactAt);
     this->log.write(EventScope::Process, "store", "lost", EventFields().text("reason", reason));
     this->scheduleLogFlush();
 }
@@ -249,6 +249,8 @@
 void Proxy::handleStoreReturn()
 {
     this->handleStoreUnavailable("the store has returned from a copy");
+    // Entries are missing however short the outage was.
+    markStoreUnavailable(this->directory);
     this->handleStoreAvailable();
     markStoreReturned(this->directory, Clock::now());
 }
--- a/packages/proxy/src/TargetDirectory.cpp
+++ b/packages/proxy/src/TargetDirectory.cpp
@@ -171,8 +171,11 @@
     return change;
 }
 
-void markStoreUnavailable(TargetDirectory& directory)
+void markStoreUnavailable(TargetDirectory& directory, std::optional<TimePoint> lastContactAt)
 {
+    const bool continuesLast = lastContactAt && directory.contactRegainedAt && *lastContactAt - *directory.contactRegainedAt < directory.limits.separateOutageTime;
+    if (!continuesLast)
+        directory.contactLostAt = lastContactAt;
     directory.storeUnavailable = true;
 }
 
@@ -181,10 +184,13 @@
     if (!directory.storeUnavailable)
         return;
     directory.storeUnavailable = false;
-    directory.lastStoreOutageAt = now;
+    directory.contactRegainedAt = now;
+    const bool mayHaveLapsed = !directory.contactLostAt || now - *directory.contactLostAt >= directory.limits.shortestLapsingOutage;
+    if (mayHaveLapsed)
+        directory.lastStoreOutageAt = now;
     for (auto& [instance, known] : directory.entries) {
         if (known.graceEndsAt == TimePoint::max())
-            known.graceEndsAt = now + directory.limits.lapseGrace;
+            known.graceEndsAt = mayHaveLapsed ? now + directory.limits.lapseGrace : now;
     }
 }
 
--- a/packages/proxy/tests/unit-parts.cpp
+++ b/packages/proxy/tests/unit-parts.cpp
@@ -104,6 +104,39 @@
     CHECK_EQUAL(1, expireEntries(directory, now).dropped.size());
 }
 
+// Guards against requests to a target that has left: connections to the store had gone silent for a second, in which no entry can lapse.
+TEST(Directory, AnEntryRemovedInAnOutageInWhichNoneCanLapseIsDroppedAtItsEnd)
+{
+    addTargets(6);
+    markStoreUnavailable(directory, now - milliseconds(1100));
+    CHECK_EQUAL(0, remove({ "t3" }).dropped.size());
+    now += milliseconds(200);
+    markStoreAvailable(directory, now);
+    CHECK_EQUAL(1, expireEntries(directory, now).dropped.size());
+    // Not together with the first one, which would be a mass loss.
+    now += milliseconds(1100);
+    CHECK_EQUAL(1, remove({ "t4" }).dropped.size());
+}
+
+TEST(Directory, OutagesInQuickSuccessionCountAsOneInWhichEntriesMayLapse)
+{
+    addTargets(6);
+    const TimePoint lastContact = now;
+    for (int round = 0; round < 2; ++round) {
+        markStoreUnavailable(directory, now);
+        now += milliseconds(1500);
+        markStoreAvailable(directory, now);
+    }
+    CHECK(now - lastContact >= directory.limits.shortestLapsingOutage);
+    CHECK_EQUAL(0, remove({ "t3" }).dropped.size());
+    now += seconds(60);
+    CHECK_EQUAL(1, expireEntries(directory, now).dropped.size());
+    markStoreUnavailable(directory, now);
+    now += milliseconds(1500);
+    markStoreAvailable(directory, now);
+    CHECK_EQUAL(1, remove({ "t4" }).dropped.size());
+}
+
 TEST(Directory, AnEntryIsDroppedAtOnceWhenTheSenderStayedConnectedToTheStore)
 {
     addTargets(6);
