--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -36,7 +36,8 @@
     // start; zero while the store is unavailable.
     Duration storeConnectedFor() const;
 
-    // Handle the start and the end of a store outage.
+    // Handle the start and the end of a store outage. The last contact with the store before it, if known, tells whether entries of
+    // targets may lapse in it.
     void handleStoreUnavailable(std::string_view reason, std::optional<TimePoint> lastContactAt = std::nullopt);
     void handleStoreAvailable();
 
