Leave out targets at whose addresses other instances answer

Callers got 503 "replaced" under load: both attempts of a request went to instances that had ended, whose entries had not lapsed, and other instances answered 421 at their addresses. A dispatcher took a 421 for evidence that the target fails; targets that fail are the last resort where healthy ones have no room, so that such an instance was granted to request after request.

Change: a 421 makes the target absent for 2 s, unless its entry names another start or address before. Absent targets get no requests and count as leaving in the pools. Entries record this for their own requests, dispatchers from the reported ends of attempts; no message has changed.

--- a/packages/proxy/include/flamingowick/proxy/DispatcherHost.h
+++ b/packages/proxy/include/flamingowick/proxy/DispatcherHost.h
@@ -21,6 +21,8 @@
     std::function<std::vector<grants::ListedTarget>(std::string_view service)> listTargets;
     // Asks the entry of an attempt whether it still runs.
     std::function<void(const grants::AttemptId&)> queryAttempt;
+    // Handles that another instance has answered at the target's address.
+    std::function<void(const grants::ListedTarget&)> onTargetAbsent;
 };
 
 class DispatcherHost {
@@ -64,6 +66,7 @@
     // Returns the pool of the group, which is created at its first use, or nullptr if the name is malformed.
     grants::TargetPool* poolOf(std::string_view group);
     void refreshTargets(grants::TargetPool&, const TargetGroup&);
+    void reportAbsence(const grants::TargetPool&, const grants::AttemptId&);
     void deliver(std::span<const grants::Decision>);
     void scheduleExpiry();
     void expirePools();
--- a/packages/proxy/include/flamingowick/proxy/Entry.h
+++ b/packages/proxy/include/flamingowick/proxy/Entry.h
@@ -64,6 +64,8 @@
     std::function<void()> onMemberSuspected;
     // Called when a target's response says that the target, which started at that time, is leaving.
     std::function<void(std::string_view instance, std::int64_t startedAt)> onTargetLeaving;
+    // Handles that another instance has answered at a target's address.
+    std::function<void(std::string_view instance, std::int64_t startedAt, std::string_view address)> onTargetAbsent;
     // Called when a response says whether its target, whose dispatcher has to know, has a limit on requests.
     std::function<void(const TargetLimitMessage&)> onTargetLimit;
 };
--- a/packages/proxy/include/flamingowick/proxy/Proxy.h
+++ b/packages/proxy/include/flamingowick/proxy/Proxy.h
@@ -118,6 +118,7 @@
     PresenceMessage presenceMessage(bool leaving, bool wantsReply) const;
     void announcePresence(bool leaving, bool wantsReply);
     void handlePathChange();
+    DispatcherCallbacks makeDispatcherCallbacks(std::function<void(const grants::Decision&)> deliverDecision, std::function<void(const grants::AttemptId&)> queryAttempt);
     PathCallbacks makePathCallbacks();
     void checkStopProgress();
     void scheduleLogFlush();
--- a/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
+++ b/packages/proxy/include/flamingowick/proxy/TargetDirectory.h
@@ -52,6 +52,9 @@
     // late; the one that has started since writes its entry again within 1.5 s, or within twice that if a write is lost. An entry
     // that stays is of a target whose clock has been set back.
     Duration outdatedDelay { std::chrono::seconds(5) };
+    // How long a target gets no requests after another instance has answered at its address. If it has ended, its entry is removed a few
+    // seconds later; if the other one was there only for a while, the target is soon tried again.
+    Duration absenceMemory { std::chrono::seconds(2) };
     // How long it is remembered that a target has gone: longer than a copy of the store is old.
     Duration goneMemory { std::chrono::seconds(60) };
 };
@@ -69,6 +72,8 @@
     std::optional<TimePoint> heldOffUntil {};
     // When the limit in the entry's target was last named; none if the target has no limit.
     std::optional<TimePoint> limitNamedAt {};
+    // Until when the target gets no requests since another instance has answered at its address; none if none has.
+    std::optional<TimePoint> absentUntil {};
 };
 
 // A target that was dropped, as it was known last. If the same incarnation is listed again, what it has said of itself
@@ -113,6 +118,8 @@
     std::vector<std::string> leaving;
     // Instances whose limit on requests has begun, changed or ended.
     std::vector<std::string> limitsChanged;
+    // Instances at whose addresses another one has answered, and which get no requests for absenceMemory.
+    std::vector<std::string> absent;
     // Instances that are kept for a grace period although their entries were removed.
     std::vector<std::string> inGracePeriod;
 };
@@ -132,14 +139,14 @@
 // the store has had the time to remove them. Those of a later start are used at once.
 void markStoreReturned(TargetDirectory&, TimePoint now);
 
-// Drops the targets whose grace period has ended, uses the reappeared ones that are still listed, and forgets limits that
-// were not named again.
+// Drops the targets whose grace period has ended, uses the reappeared ones that are still listed and the absent ones that are to be tried
+// again, and forgets limits that were not named again.
 DirectoryChange expireEntries(TargetDirectory&, TimePoint now);
 
-// Returns when expireEntries() is due next; none when no limit and no grace period has a known end. Linear in all entries.
+// Returns when expireEntries() is due next; none when no limit, absence or grace period has a known end. Linear in all entries.
 std::optional<TimePoint> nextEntryExpiry(const TargetDirectory&);
 
-// Returns the targets of a service, leaving ones included. Linear in all entries.
+// Returns the targets of a service, leaving ones included. Absent ones count as leaving. Linear in all entries.
 std::vector<grants::ListedTarget> targetsOf(const TargetDirectory&, std::string_view service);
 
 // Returns the number of targets of a service, leaving ones included. Linear in all entries.
@@ -157,14 +164,21 @@
 // Remembered and ignored as by markLeaving(). Logarithmic.
 void holdOff(TargetDirectory&, std::string_view instance, std::int64_t startedAt, TimePoint until);
 
+// Records that another instance has answered at the target's address: it gets no requests for absenceMemory. Ignored if the instance isn't
+// known, or has restarted or moved to another address since. Logarithmic.
+DirectoryChange markAbsent(TargetDirectory&, std::string_view instance, std::int64_t startedAt, std::string_view address, TimePoint now);
+
 // Returns whether the target wants no requests from this daemon at this time. Never throws.
 bool isHeldOff(const DirectoryEntry&, TimePoint now) noexcept;
 
-// Returns whether new requests may be sent to the instance: it is listed, not leaving and not held off. Logarithmic.
+// Returns whether new requests may be sent to the target: it is neither leaving, absent nor held off. Never throws.
+bool acceptsRequests(const DirectoryEntry&, TimePoint now) noexcept;
+
+// Returns the same of an instance, false if it isn't listed. Logarithmic.
 bool acceptsRequests(const TargetDirectory&, std::string_view instance, TimePoint now);
 
 // Returns the soonest end of the time for which the service's targets are held off. None if a target accepts requests,
-// or if all are leaving. Linear in all entries.
+// or if all are leaving or absent. Linear in all entries.
 std::optional<TimePoint> soonestHoldOffEnd(const TargetDirectory&, std::string_view service, TimePoint now);
 
 }
--- a/packages/proxy/src/ActiveRequest.cpp
+++ b/packages/proxy/src/ActiveRequest.cpp
@@ -344,6 +344,8 @@
         this->context.quarantine.handleSurvival(this->fingerprint);
     if (result.targetLeaving)
         this->context.onTargetLeaving(attempt.instance, attempt.targetStartedAt);
+    if (result.outcome == AttemptOutcome::InstanceReplaced)
+        this->context.onTargetAbsent(attempt.instance, attempt.targetStartedAt, attempt.address);
     if (result.holdOff || result.holdOffUnreadable)
         this->recordHoldOff(attempt, result);
     this->reportLimit(attempt, result.limit);
--- a/packages/proxy/src/ActiveRequestGrants.cpp
+++ b/packages/proxy/src/ActiveRequestGrants.cpp
@@ -41,7 +41,7 @@
     std::vector<std::string> idleInstances;
     const TimePoint now = Clock::now();
     for (const auto& [instance, known] : this->context.directory.entries) {
-        if (known.entry.service == this->service && !known.entry.target.leaving && !isHeldOff(known, now) && this->context.links.hasIdle(instance, this->route.idempotent))
+        if (known.entry.service == this->service && acceptsRequests(known, now) && this->context.links.hasIdle(instance, this->route.idempotent))
             idleInstances.push_back(instance);
     }
     return idleInstances;
@@ -112,7 +112,7 @@
     for (const auto& [instance, known] : this->context.directory.entries) {
         if (appended == maxUnusableInstancesSent)
             return;
-        if (parsed && known.entry.service == parsed->service && (known.entry.target.leaving || isHeldOff(known, now)) && isInGroup(*parsed, instance)) {
+        if (parsed && known.entry.service == parsed->service && !acceptsRequests(known, now) && isInGroup(*parsed, instance)) {
             instances.push_back(instance);
             ++appended;
         }
@@ -257,6 +257,8 @@
         std::string_view reason = "not-listed";
         if (isForeign)
             reason = "other-service";
+        else if (isListed && known->second.absentUntil)
+            reason = "absent";
         else if (isListed && isHeldOff(known->second, Clock::now()))
             reason = "held-off";
         this->context.log.write(EventScope::Request, "entry", "grant-declined", EventFields().text("request", this->requestId).text("target", decision.instance).text("dispatcher", dispatcher).text("reason", reason));
@@ -285,8 +287,7 @@
 {
     const auto& entries = this->context.directory.entries;
     return std::any_of(entries.begin(), entries.end(), [this, now = Clock::now()](const auto& item) {
-        const TargetEntry& known = item.second.entry;
-        return known.service == this->service && !known.target.leaving && !isHeldOff(item.second, now) && std::find(this->triedInstances.begin(), this->triedInstances.end(), item.first) == this->triedInstances.end();
+        return item.second.entry.service == this->service && acceptsRequests(item.second, now) && std::find(this->triedInstances.begin(), this->triedInstances.end(), item.first) == this->triedInstances.end();
     });
 }
 
--- a/packages/proxy/src/DispatcherHost.cpp
+++ b/packages/proxy/src/DispatcherHost.cpp
@@ -86,6 +86,8 @@
         return;
     grants::TargetPool* pool = &found->second;
     const TimePoint now = Clock::now();
+    if (outcome == grants::AttemptOutcome::InstanceReplaced)
+        this->reportAbsence(*pool, attemptId);
     const auto attempt = pool->instanceByAttempt.find(attemptId);
     const std::string instance = attempt == pool->instanceByAttempt.end() ? std::string() : attempt->second;
     const auto target = pool->targets.find(instance);
@@ -102,6 +104,17 @@
     }
 }
 
+void DispatcherHost::reportAbsence(const grants::TargetPool& pool, const grants::AttemptId& attemptId)
+{
+    const auto attempt = pool.instanceByAttempt.find(attemptId);
+    if (attempt == pool.instanceByAttempt.end())
+        return;
+    // The attempt may have been sent to an earlier start of the target, which says nothing of this one.
+    const auto target = pool.targets.find(attempt->second);
+    if (target != pool.targets.end() && target->second.inFlight.contains(attemptId))
+        this->callbacks.onTargetAbsent(grants::ListedTarget(target->second.listed));
+}
+
 void DispatcherHost::attemptRunning(const grants::AttemptId& attemptId, const RunningAttemptMessage& message)
 {
     grants::TargetPool* pool = this->poolOf(message.group);
--- a/packages/proxy/src/Proxy.cpp
+++ b/packages/proxy/src/Proxy.cpp
@@ -25,11 +25,6 @@
     // so long: their first datagrams arrived in the wrong order.
     constexpr Duration maxDatagramDelay { std::chrono::seconds(2) };
 
-    DispatcherCallbacks makeDispatcherCallbacks(std::function<void(const grants::Decision&)> deliverDecision, std::function<void(const grants::AttemptId&)> queryAttempt, const TargetDirectory& directory)
-    {
-        return { std::move(deliverDecision), [&directory](std::string_view service) { return targetsOf(directory, service); }, std::move(queryAttempt) };
-    }
-
 }
 
 Proxy::Proxy(asio::io_context& ioContext, ProxySettings proxySettings, std::uint64_t incarnation, telemetry::EventLog& eventLog)
@@ -53,9 +48,9 @@
     // Two dispatchers may briefly serve the same group, so each pool gets less than half of the service's retry burst.
     constexpr double retryShare = 0.4;
     this->hostedPools = std::make_unique<DispatcherHost>(this->io, "dispatch", this->settings, retryShare, this->log,
-        makeDispatcherCallbacks([this](const grants::Decision& decision) { this->deliverHostedDecision(decision); }, [this](const grants::AttemptId& attemptId) { this->queryAttempt(attemptId); }, this->directory));
+        this->makeDispatcherCallbacks([this](const grants::Decision& decision) { this->deliverHostedDecision(decision); }, [this](const grants::AttemptId& attemptId) { this->queryAttempt(attemptId); }));
     this->localPools = std::make_unique<DispatcherHost>(this->io, "alone", this->settings, retryShare, this->log,
-        makeDispatcherCallbacks([this](const grants::Decision& decision) { this->deliverLocalDecision(decision); }, [](const grants::AttemptId&) { /* The entry reports each end to its own pools, and no message can be lost. */ }, this->directory));
+        this->makeDispatcherCallbacks([this](const grants::Decision& decision) { this->deliverLocalDecision(decision); }, [](const grants::AttemptId&) { /* The entry reports each end to its own pools, and no message can be lost. */ }));
     this->links = std::make_unique<TargetConnections>(this->io, this->settings.headers, this->paths, this->makePathCallbacks());
     this->tunnelServer = std::make_unique<TunnelServer>(this->io, this->directory, this->paths, this->metrics);
     const auto handleMemberSuspected = [this] {
@@ -64,7 +59,8 @@
     };
     const auto handleTargetLimit = [this](const TargetLimitMessage& message) { this->spreadTargetLimit(message); };
     const auto handleTargetLeaving = [this](std::string_view instance, std::int64_t startedAt) { this->applyDirectoryChange(markLeaving(this->directory, instance, startedAt)); };
-    this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->appliedConfiguration, this->directory, this->fleet, *this->peers, *this->hostedPools, *this->localPools, *this->links, this->paths, *this->quarantine, this->log, this->metrics, this->stopSchedule, this->ownIncarnation, this->ownDigestKey, *this->allotments, this->organisationLabels, handleMemberSuspected, handleTargetLeaving, handleTargetLimit });
+    const auto handleTargetAbsent = [this](std::string_view instance, std::int64_t startedAt, std::string_view address) { this->applyDirectoryChange(markAbsent(this->directory, instance, startedAt, address, Clock::now())); };
+    this->context = std::make_unique<EntryContext>(EntryContext { this->io, this->settings, this->appliedConfiguration, this->directory, this->fleet, *this->peers, *this->hostedPools, *this->localPools, *this->links, this->paths, *this->quarantine, this->log, this->metrics, this->stopSchedule, this->ownIncarnation, this->ownDigestKey, *this->allotments, this->organisationLabels, handleMemberSuspected, handleTargetLeaving, handleTargetAbsent, handleTargetLimit });
     this->entry = std::make_unique<Entry>(*this->context);
     const auto internalLimits = [] { return internalRequestLimits; };
     this->readinessServer = std::make_unique<CallerServer>(this->io, this->settings.readyAddress, maxMonitoringConnections,
@@ -85,6 +81,13 @@
 
 Proxy::~Proxy() = default;
 
+DispatcherCallbacks Proxy::makeDispatcherCallbacks(std::function<void(const grants::Decision&)> deliverDecision, std::function<void(const grants::AttemptId&)> queryAttempt)
+{
+    const auto listTargets = [this](std::string_view service) { return targetsOf(this->directory, service); };
+    const auto handleTargetAbsent = [this](const grants::ListedTarget& target) { this->applyDirectoryChange(markAbsent(this->directory, target.instance, target.startedAt, target.address, Clock::now())); };
+    return { std::move(deliverDecision), listTargets, std::move(queryAttempt), handleTargetAbsent };
+}
+
 PathCallbacks Proxy::makePathCallbacks()
 {
     const auto chooseMember = [this](std::span<const std::string> tried) -> std::optional<TunnelMember> {
@@ -192,6 +195,8 @@
 {
     for (const std::string& instance : change.leaving)
         this->log.write(EventScope::Process, "targets", "leaving", EventFields().text("target", instance));
+    for (const std::string& instance : change.absent)
+        this->log.write(EventScope::Process, "targets", "absent", EventFields().text("target", instance));
     for (const std::string& instance : change.inGracePeriod)
         this->log.write(EventScope::Process, "targets", "vanished-but-kept", EventFields().text("target", instance).flag("storeAway", this->directory.storeUnavailable));
     for (const std::string& instance : change.dropped) {
--- a/packages/proxy/src/TargetDirectory.cpp
+++ b/packages/proxy/src/TargetDirectory.cpp
@@ -79,6 +79,7 @@
     {
         next.entry.target.leaving = next.entry.target.leaving || known.entry.target.leaving;
         next.heldOffUntil = known.heldOffUntil;
+        next.absentUntil = known.absentUntil;
         next.limitNamedAt = known.limitNamedAt;
         next.entry.target.requestsPerSecond = known.entry.target.requestsPerSecond;
     }
@@ -215,6 +216,10 @@
         return true;
     });
     for (auto& [instance, known] : directory.entries) {
+        if (known.absentUntil && *known.absentUntil <= now) {
+            known.absentUntil.reset();
+            change.changedServices.insert(known.entry.service);
+        }
         if (!known.limitNamedAt || *known.limitNamedAt + directory.limits.limitMemory > now)
             continue;
         known.limitNamedAt.reset();
@@ -244,6 +249,8 @@
     for (const auto& [instance, known] : directory.entries) {
         if (known.graceEndsAt && *known.graceEndsAt != TimePoint::max())
             next = std::min(next.value_or(TimePoint::max()), *known.graceEndsAt);
+        if (known.absentUntil)
+            next = std::min(next.value_or(TimePoint::max()), *known.absentUntil);
         if (known.limitNamedAt)
             next = std::min(next.value_or(TimePoint::max()), *known.limitNamedAt + directory.limits.limitMemory);
     }
@@ -258,6 +265,7 @@
             continue;
         targets.push_back(known.entry.target);
         targets.back().startedAt = known.entry.startedAt;
+        targets.back().leaving = targets.back().leaving || known.absentUntil;
     }
     return targets;
 }
@@ -305,22 +313,42 @@
         known->heldOffUntil = std::max(known->heldOffUntil.value_or(until), until);
 }
 
+DirectoryChange markAbsent(TargetDirectory& directory, std::string_view instance, std::int64_t startedAt, std::string_view address, TimePoint now)
+{
+    DirectoryChange change;
+    DirectoryEntry* known = findIncarnation(directory, instance, startedAt);
+    if (!known || known->entry.target.address != address)
+        return change;
+    const bool isNew = !known->absentUntil;
+    known->absentUntil = now + directory.limits.absenceMemory;
+    if (isNew && isListed(directory, instance)) {
+        change.changedServices.insert(known->entry.service);
+        change.absent.emplace_back(instance);
+    }
+    return change;
+}
+
 bool isHeldOff(const DirectoryEntry& known, TimePoint now) noexcept
 {
     return known.heldOffUntil && now < *known.heldOffUntil;
 }
 
+bool acceptsRequests(const DirectoryEntry& known, TimePoint now) noexcept
+{
+    return !known.entry.target.leaving && !(known.absentUntil && now < *known.absentUntil) && !isHeldOff(known, now);
+}
+
 bool acceptsRequests(const TargetDirectory& directory, std::string_view instance, TimePoint now)
 {
     const auto found = directory.entries.find(instance);
-    return found != directory.entries.end() && !found->second.entry.target.leaving && !isHeldOff(found->second, now);
+    return found != directory.entries.end() && acceptsRequests(found->second, now);
 }
 
 std::optional<TimePoint> soonestHoldOffEnd(const TargetDirectory& directory, std::string_view service, TimePoint now)
 {
     std::optional<TimePoint> soonest;
     for (const auto& [instance, known] : directory.entries) {
-        if (known.entry.service != service || known.entry.target.leaving)
+        if (known.entry.service != service || known.entry.target.leaving || known.absentUntil)
             continue;
         if (!isHeldOff(known, now))
             return std::nullopt;
--- a/packages/proxy/tests/unit-request-limit.cpp
+++ b/packages/proxy/tests/unit-request-limit.cpp
@@ -186,7 +186,7 @@
     listed.front().slots = 4;
     listed.front().requestsPerSecond = perSecond;
     const ProxySettings settings;
-    DispatcherHost host(testBed.io, "alone", settings, 0.4, testBed.log, { [](const grants::Decision&) {}, [&listed](std::string_view) { return listed; }, [](const grants::AttemptId&) {} });
+    DispatcherHost host(testBed.io, "alone", settings, 0.4, testBed.log, { [](const grants::Decision&) {}, [&listed](std::string_view) { return listed; }, [](const grants::AttemptId&) {}, [](const grants::ListedTarget&) {} });
     host.setRequestLimitShare(1.0 / daemons);
     GrantRequestMessage message;
     message.group = "stock/0/1";
--- a/packages/proxy/tests/unit-restarted-targets.cpp
+++ b/packages/proxy/tests/unit-restarted-targets.cpp
@@ -98,7 +98,7 @@
     DispatcherHost host(testBed.io, "dispatch", settings, 1, testBed.log, { [](const grants::Decision&) {}, [&](std::string_view) {
                                                                                grants::ListedTarget listed = testBed.entries.front().target;
                                                                                listed.startedAt = 2;
-                                                                               return std::vector<grants::ListedTarget> { listed }; }, [](const grants::AttemptId&) {} });
+                                                                               return std::vector<grants::ListedTarget> { listed }; }, [](const grants::AttemptId&) {}, [](const grants::ListedTarget&) {} });
     const auto inFlight = [&host] { return host.pools().at("stock/0/1").targets.at("i-1").inFlight.size(); };
     host.attemptRunning({ 7, 1 }, { 1, "stock/0/1", "i-1", seconds(1), 0, 1 });
     CHECK_EQUAL(0, inFlight());
