Wait for all messages before counting one in the transport's test

The test sends a message each millisecond until the first has arrived; those that were still on their way were counted as the one that it sends afterwards. It waits now until each has arrived or come back. The check is the same, and stricter: a message that is lost and not handed back hangs the test. 24 runs at a time, 10 times: 7 of 240 failed before, none now.

--- a/packages/peers/tests/unit-transport.cpp
+++ b/packages/peers/tests/unit-transport.cpp
@@ -38,13 +38,17 @@
     }
 };
 
-// Sends until one message has arrived, since a connection takes a moment to open.
+// Sends until one message has arrived, since a connection takes a moment to open, and waits until each of them has arrived or come back.
 void sendUntilReceived(Peer& from, Peer& to, Incarnation incarnation)
 {
+    unsigned sent = 0;
     while (to.received == 0) {
         from.transport->send(to.transport->address(), incarnation, KeyHeartbeat {});
+        ++sent;
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
+    while (to.received + from.notSent < sent)
+        std::this_thread::yield();
 }
 
 }
